--- a/src/bin/grebeshunt-simhost/main.rs
+++ b/src/bin/cobaltspool-benchlink/main.rs
@@ -10,7 +10,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use grebeshunt::*;
+use cobaltspool::*;
 use wire::{Act, Batch, Element, Ending, Msg, Profile, Reply, Scope, Telemetry};
 
 /// One front with its own numbering of the servers that its lists have named.
@@ -272,6 +272,6 @@
 }
 
 fn complain(what: &str) -> ExitCode {
-    eprintln!("grebeshunt-simhost: {what}");
+    eprintln!("cobaltspool-benchlink: {what}");
     ExitCode::FAILURE
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,4 +1,4 @@
-//! All decisions of grebeshunt; the types of its interface stand in `src/interface.rs`.
+//! All decisions of cobaltspool; the types of its interface stand in `src/interface.rs`.
 //!
 //! Order: constants, state, occupancy, shut and gate, rule guards, routing, call life cycle. `docs/design.md`
 //! tells what is kept of the paper (Kaufman et al.) and of the design page ("design"), and what is not.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! grebeshunt decides, inside an edge controller (a *front*), how calls are set up at shared signalling servers:
+//! cobaltspool decides, inside an edge controller (a *front*), how calls are set up at shared signalling servers:
 //! which server gets each call, when a pressed server gets no fresh calls, when a call is held, and when it is
 //! refused. It follows Kaufman et al., "A Distributed Traffic Overload Control Scheme for a Loosely Coupled
 //! Switching Architecture", from the sender's side: each front goes by its own traffic alone.
@@ -7,7 +7,7 @@
 //! its time, and carries out the actions:
 //!
 //! ```
-//! use grebeshunt::*;
+//! use cobaltspool::*;
 //!
 //! let settings = Settings {
 //!     fronts: 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A scripted clock around one front: fires its timers, keeps its actions.
 #![allow(dead_code)]
 
-use grebeshunt::*;
+use cobaltspool::*;
 
 pub const MS: u64 = 1_000;
 pub const SEC: u64 = 1_000_000;
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use grebeshunt::*;
+use cobaltspool::*;
 
 fn load(free: f64, lines: f64) -> LoadReport {
     LoadReport { free_lines: Some(free), lines: Some(lines), ..LoadReport::default() }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use grebeshunt::*;
+use cobaltspool::*;
 
 /// A wait of 250 ms is half of the resend time of 500 ms and so stands for P_MAX = 0.80; others in proportion.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use grebeshunt::*;
+use cobaltspool::*;
 
 const NO_LOAD: LoadReport = LoadReport {
     busy: None,
