--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,208 @@
+//! The configuration: decoded once, into the few values that the program uses. Unknown keys are skipped.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use tinyjson::JsonValue;
+
+use crate::list::Listed;
+use crate::{Class, ListScope, Micros, PoolId, Rules, Settings, Status};
+
+/// What a gatekeeper is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most file descriptors.
+    pub sockets: usize,
+    /// The resolver.
+    pub dns: SocketAddr,
+    /// The number of the list's last event.
+    pub seq: u32,
+    /// The list's events up to that one.
+    pub known: Vec<(ListScope, Vec<Listed>)>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes, by their place in the settings.
+    pub classes: Vec<String>,
+    /// Connections to servers are bounded by this.
+    pub dial_timeout: Micros,
+    /// The longest time that a caller waits.
+    pub longest_wait: Micros,
+}
+
+/// A JSON object, read by key. Errors name the key.
+pub struct Object<'a>(&'a HashMap<String, JsonValue>);
+
+impl<'a> Object<'a> {
+    /// Takes a value that must be an object.
+    pub fn of(value: &'a JsonValue, what: &str) -> Result<Self, String> {
+        value.get().map(Object).ok_or_else(|| format!("{what} is not an object"))
+    }
+
+    /// The value of a key that must be there.
+    pub fn need(&self, key: &str) -> Result<&'a JsonValue, String> {
+        self.0.get(key).ok_or_else(|| format!("'{key}' is missing"))
+    }
+
+    /// A text that must be there.
+    pub fn text(&self, key: &str) -> Result<&'a str, String> {
+        let text = self.need(key)?.get::<String>();
+        text.map(String::as_str).ok_or_else(|| format!("'{key}' is not a text"))
+    }
+
+    /// An address that must be there.
+    pub fn address(&self, key: &str) -> Result<SocketAddr, String> {
+        self.text(key)?.parse().map_err(|_| format!("'{key}' is not an address"))
+    }
+
+    /// A number, or 0 where the key is absent.
+    pub fn number(&self, key: &str) -> Result<f64, String> {
+        let Some(value) = self.0.get(key) else { return Ok(0.0) };
+        let number = value.get::<f64>().copied().filter(|n| n.is_finite());
+        number.ok_or_else(|| format!("'{key}' is not a number"))
+    }
+
+    /// A count or a time, or 0 where the key is absent.
+    pub fn count(&self, key: &str) -> Result<u64, String> {
+        let number = self.number(key)?;
+        if number < 0.0 { Err(format!("'{key}' is negative")) } else { Ok(number as u64) }
+    }
+
+    fn flag(&self, key: &str) -> bool {
+        self.0.get(key).and_then(|v| v.get::<bool>()).copied().unwrap_or(false)
+    }
+
+    /// A list, empty where the key is absent.
+    pub fn list(&self, key: &str) -> Result<&'a [JsonValue], String> {
+        let Some(value) = self.0.get(key) else { return Ok(&[]) };
+        let list = value.get::<Vec<JsonValue>>();
+        list.map(Vec::as_slice).ok_or_else(|| format!("'{key}' is not a list"))
+    }
+
+    fn object(&self, key: &str) -> Result<Object<'a>, String> {
+        Object::of(self.need(key)?, &format!("'{key}'"))
+    }
+}
+
+/// Decodes a configuration.
+pub fn decode(text: &str) -> Result<Config, String> {
+    let json: JsonValue = text.parse().map_err(|e| format!("not JSON: {e}"))?;
+    let top = Object::of(&json, "the configuration")?;
+    let seed = u64::from_str_radix(top.text("seed")?, 16).map_err(|_| "'seed' is not hexadecimal")?;
+    let settings = top.object("settings")?;
+    let services = settings.list("services")?;
+    if services.is_empty() {
+        return Err("'services' is missing or empty".to_string());
+    }
+    let known = top.object("known")?;
+    let mut classes = Vec::new();
+    let mut longest_wait = 0;
+    for service in services {
+        let service = Object::of(service, "a service")?;
+        classes.push(service.text("name")?.to_string());
+        longest_wait = longest_wait.max(service.count("hard-limit-us")?);
+    }
+    Ok(Config {
+        name: top.text("name")?.to_string(),
+        listen: top.address("listen")?,
+        seed,
+        sockets: top.object("limits")?.count("sockets")? as usize,
+        dns: top.address("dns")?,
+        seq: known.count("seq")? as u32,
+        known: events(&known)?,
+        settings: decode_settings(&settings)?,
+        classes,
+        dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
+        longest_wait,
+    })
+}
+
+fn decode_settings(settings: &Object) -> Result<Settings, String> {
+    let (limits, figures) = (settings.object("ceilings")?, settings.object("rules")?);
+    let domain = settings.object("domain")?;
+    let pools = domain.list("allowed-pools")?;
+    let mut classes = Vec::new();
+    for (n, service) in settings.list("services")?.iter().enumerate() {
+        let service = Object::of(service, "a service")?;
+        let effect = service.0.get("effect").and_then(|e| e.get::<String>());
+        classes.push(Class {
+            aim: service.count("aim-us")?,
+            worth: service.number("worth")?,
+            late_worth: service.number("late-worth")?,
+            pools: pools.get(n).map(pool_list).transpose()?,
+            repeatable: effect.is_none_or(|e| e == "read_like"),
+        });
+    }
+    let discovery = settings.0.get("discovery").and_then(|d| d.get::<String>());
+    Ok(Settings {
+        fronts: settings.count("peers-total")? as u32,
+        own_number: settings.count("me")? as u32,
+        classes,
+        resend_after: domain.count("resend-us")?,
+        tick: settings.count("tick-us")?,
+        max_attempts: limits.count("max-attempts")? as u32,
+        may_cancel: limits.flag("cancel"),
+        may_probe: limits.flag("probes"),
+        may_message: limits.flag("peers"),
+        may_advise_retry: limits.flag("retry-after"),
+        max_retry_after: limits.count("max-retry-after-us")?,
+        list_on_request: discovery.is_some_and(|d| d == "on_request"),
+        rules: Rules {
+            answer_slack: figures.count("answer-slack-us")?,
+            drain_grace: figures.count("drain-grace-us")?,
+            release_wait: domain.count("clear-wait-us")?,
+            start_capacity: figures.number("start-capacity")?,
+            warm_up: figures.count("warm-up-us")?,
+            tip_multiple: figures.number("tip-multiple")?,
+            fall_time: figures.count("fall-us")?,
+        },
+    })
+}
+
+fn pool_list(value: &JsonValue) -> Result<Vec<PoolId>, String> {
+    let list = value.get::<Vec<JsonValue>>().ok_or("a class's pools are not a list")?;
+    let pool = |v: &JsonValue| v.get::<f64>().map(|n| PoolId(*n as i64));
+    list.iter().map(|v| pool(v).ok_or_else(|| "a pool is not a number".to_string())).collect()
+}
+
+/// The events that the list has gone through: the first is the whole list, later ones changed lines, unless
+/// they say that they start anew.
+fn events(known: &Object) -> Result<Vec<(ListScope, Vec<Listed>)>, String> {
+    let mut events = Vec::new();
+    for (n, event) in known.list("results")?.iter().enumerate() {
+        let fleet = Object::of(event, "an event")?.object("fleet")?;
+        let scope = match (n, fleet.flag("reset")) {
+            (0, _) => ListScope::Restored,
+            (_, true) => ListScope::Whole,
+            _ => ListScope::Changes,
+        };
+        let lines = fleet.list("instances")?.iter().map(listed).collect::<Result<_, String>>()?;
+        events.push((scope, lines));
+    }
+    Ok(events)
+}
+
+fn listed(line: &JsonValue) -> Result<Listed, String> {
+    let line = Object::of(line, "a server")?;
+    let status = match line.text("lifecycle")? {
+        "in_service" => Status::Up,
+        "terminating" => Status::Draining,
+        "terminated" => Status::Removed,
+        other => return Err(format!("'lifecycle' is '{other}'")),
+    };
+    // A machine that is gone need not have an address any more.
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+    let address = line.address("hostPort");
+    Ok(Listed {
+        id: line.text("instanceId")?.into(),
+        address: if status == Status::Removed { address.unwrap_or(nowhere) } else { address? },
+        pool: PoolId(line.number("cell")? as i64),
+        started_at: line.count("startedAtMs")? * 1000,
+        status,
+    })
+}
--- /dev/null
+++ b/src/gateway/book.rs
@@ -0,0 +1,162 @@
+//! Book: the call table, the deadlines of calls and attempts, and each call's one final answer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use crate::{CallId, Micros, ServerId};
+
+/// An attempt that is out or whose call stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Out {
+    /// Which attempt.
+    pub number: u32,
+    /// Where.
+    pub server: ServerId,
+    /// When it was sent.
+    pub sent: Micros,
+    /// When it times out.
+    pub until: Micros,
+}
+
+/// Where a call is in its life. A call that got a refusal or a failure is in the book no more.
+#[derive(Clone, Copy, Debug)]
+pub enum State {
+    /// It is owed its final answer; at most one attempt is out.
+    Open(Option<Out>),
+    /// It was answered and stands.
+    Stands(Out),
+}
+
+/// One call.
+#[derive(Debug)]
+pub struct Entry {
+    /// Where it is.
+    pub state: State,
+    /// When its caller gives up.
+    pub due: Micros,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// No attempt before this: an earlier one may still hold something.
+    pub wait_until: Micros,
+    /// The caller's description; let go once it is not needed.
+    pub description: Bytes,
+}
+
+/// All calls that are open or stand.
+#[derive(Default)]
+pub struct Book {
+    calls: BTreeMap<CallId, Entry>,
+    dues: BTreeSet<(Micros, CallId)>,
+    standing: usize,
+}
+
+impl Book {
+    /// Opens a call; false if it is in the book already.
+    pub fn open_call(&mut self, call: CallId, due: Micros, description: Bytes) -> bool {
+        if self.calls.contains_key(&call) {
+            return false;
+        }
+        let entry = Entry { state: State::Open(None), due, attempts: 0, wait_until: 0, description };
+        self.calls.insert(call, entry);
+        self.dues.insert((due, call));
+        true
+    }
+
+    /// A call, if it is open or stands.
+    pub fn get(&self, call: CallId) -> Option<&Entry> {
+        self.calls.get(&call)
+    }
+
+    /// A call that is owed its answer.
+    pub fn open_mut(&mut self, call: CallId) -> Option<(&mut Entry, Option<Out>)> {
+        let entry = self.calls.get_mut(&call)?;
+        match entry.state {
+            State::Open(out) => Some((entry, out)),
+            State::Stands(_) => None,
+        }
+    }
+
+    /// Notes that an attempt is out.
+    pub fn sent(&mut self, call: CallId, out: Out) {
+        if let Some(entry) = self.calls.get_mut(&call) {
+            entry.state = State::Open(Some(out));
+            entry.attempts = out.number + 1;
+            self.dues.insert((out.until, call));
+        }
+    }
+
+    /// Spends the final answer on 'stands'; false if there is none left to spend.
+    pub fn answer(&mut self, call: CallId) -> bool {
+        let Some(entry) = self.calls.get_mut(&call) else { return false };
+        let State::Open(Some(out)) = entry.state else { return false };
+        entry.state = State::Stands(out);
+        entry.description = Bytes::new();
+        let due = entry.due;
+        self.dues.remove(&(due, call));
+        self.dues.remove(&(out.until, call));
+        self.standing += 1;
+        true
+    }
+
+    /// Takes a call out, whatever its state: the one place where a call's time in the book ends.
+    pub fn close(&mut self, call: CallId) -> Option<State> {
+        let entry = self.calls.remove(&call)?;
+        self.dues.remove(&(entry.due, call));
+        match entry.state {
+            State::Open(Some(out)) => {
+                self.dues.remove(&(out.until, call));
+            }
+            State::Stands(_) => self.standing -= 1,
+            State::Open(None) => {}
+        }
+        Some(entry.state)
+    }
+
+    /// Takes a call out if it is still owed its final answer; the caller of this gives that answer.
+    pub fn close_open(&mut self, call: CallId) -> Option<Option<Out>> {
+        let State::Open(out) = self.calls.get(&call)?.state else { return None };
+        self.close(call).map(|_| out)
+    }
+
+    /// The earliest deadline.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.dues.first().map(|(at, _)| *at)
+    }
+
+    /// Takes the next deadline that has come.
+    pub fn pop_due(&mut self, now: Micros) -> Option<CallId> {
+        let (at, call) = self.dues.first().copied().filter(|(at, _)| *at <= now)?;
+        self.dues.remove(&(at, call));
+        Some(call)
+    }
+
+    /// Looks at a call again at `at`.
+    pub fn look_again(&mut self, call: CallId, at: Micros) {
+        self.dues.insert((at, call));
+    }
+
+    /// Calls with something at a server, open or standing.
+    pub fn at_server(&self, server: ServerId) -> Vec<(CallId, Out)> {
+        let held = |(call, entry): (&CallId, &Entry)| match entry.state {
+            State::Open(Some(out)) | State::Stands(out) if out.server == server => Some((*call, out)),
+            _ => None,
+        };
+        self.calls.iter().filter_map(held).collect()
+    }
+
+    /// All calls.
+    pub fn all(&self) -> Vec<CallId> {
+        self.calls.keys().copied().collect()
+    }
+
+    /// How many are owed an answer.
+    pub fn open(&self) -> usize {
+        self.calls.len() - self.standing
+    }
+
+    /// How many stand.
+    pub fn standing(&self) -> usize {
+        self.standing
+    }
+}
--- /dev/null
+++ b/src/gateway/intake.rs
@@ -0,0 +1,55 @@
+//! Intake: a caller's set-up becomes a call in the book and an event for the module; what callers take back.
+
+use super::book::State;
+use super::{AttemptId, Command, Gateway, SetUp};
+use crate::{CallId, Event, Outcome};
+
+impl Gateway {
+    pub(super) fn take_in(&mut self, set_up: SetUp, out: &mut Vec<Command>) {
+        let SetUp { call, class, number, first_choice, left, again, description } = set_up;
+        let due = self.now.saturating_add(left);
+        if !self.book.open_call(call, due, description) {
+            return out.push(Command::Warn(format!("intake: call {} came twice", call.0)));
+        }
+        if class >= self.set.classes.len() {
+            return self.fail(call, out);
+        }
+        self.news.push_back(Event::Call {
+            call,
+            class,
+            number,
+            due,
+            first_choice,
+            repeat: again,
+            in_transit: false,
+        });
+    }
+
+    /// The caller waits no longer: no answer is owed, and what is out is called off.
+    pub(super) fn given_up(&mut self, call: CallId, out: &mut Vec<Command>) {
+        // Its 'give up' may have crossed our answer: then it is a release.
+        if self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_))) {
+            return self.hung_up(call, out);
+        }
+        let Some(attempt) = self.book.close_open(call) else { return };
+        self.news.push_back(Event::CallerGone { call });
+        if let Some(at) = attempt {
+            let attempt = AttemptId { call, number: at.number };
+            out.push(Command::GiveUp { attempt, server: at.server });
+            self.tell_end(call, at, Outcome::Cancelled, true);
+        }
+    }
+
+    /// The caller ends a call that stands.
+    pub(super) fn hung_up(&mut self, call: CallId, out: &mut Vec<Command>) {
+        let standing = self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_)));
+        if !standing {
+            return self.given_up(call, out);
+        }
+        if let Some(State::Stands(at)) = self.book.close(call) {
+            let attempt = AttemptId { call, number: at.number };
+            out.push(Command::Release { attempt, server: at.server });
+            self.tell_end(call, at, Outcome::Cancelled, true);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,275 @@
+//! The core of the gatekeeper: calls, attempts and rules, without sockets, wires or clocks.
+//!
+//! A front (the platform's JSON lines, or SIP) feeds [`Input`]s, each with the time at which it is seen, and
+//! carries out the [`Command`]s. Between the two a call passes the stages, one a file: `intake` takes it in,
+//! `admit` puts it to the decision module and turns a verdict into the final answer, `route` knows the servers,
+//! `send` makes the attempts, `relay` passes on what servers and callers say, and `book` keeps the call table.
+//!
+//! The decisions are the module's ([`Controller`]). The stages enforce the rules once more, as last guards; a
+//! guard that fires says so through [`Command::Warn`], because it means that a defect got past the module.
+
+mod admit;
+mod book;
+mod intake;
+mod relay;
+mod route;
+mod send;
+
+use std::collections::{BTreeSet, VecDeque};
+
+use bytes::Bytes;
+
+use crate::{Action, CallId, Cause, Controller, Event, LoadReport, Micros, Number, Outcome, PoolId};
+use crate::{ListScope, ServerEntry, ServerId, Settings};
+
+/// One attempt to set a call up; the numbers of a call's attempts start from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The call.
+    pub call: CallId,
+    /// Which attempt.
+    pub number: u32,
+}
+
+/// A set-up as a caller asked for it.
+#[derive(Clone, Debug)]
+pub struct SetUp {
+    /// A number of the front's own, never used twice.
+    pub call: CallId,
+    /// Place of the class in the settings.
+    pub class: usize,
+    /// The number called.
+    pub number: Number,
+    /// Pool of first choice.
+    pub first_choice: PoolId,
+    /// How long the caller waits from now on.
+    pub left: Micros,
+    /// The caller is known to try again.
+    pub again: bool,
+    /// The caller's description, passed on unchanged.
+    pub description: Bytes,
+}
+
+/// What a front has seen.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A caller asks for a call.
+    SetUp(SetUp),
+    /// The caller has given the set-up up, or has gone: nothing is owed any more.
+    GivenUp(CallId),
+    /// The caller releases a call that stands.
+    HungUp(CallId),
+    /// A server answers: the call stands.
+    Stands {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// The server's description, passed on unchanged.
+        description: Bytes,
+    },
+    /// A server ends an attempt, standing or not, or it is known that it cannot answer any more.
+    Ended {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// How.
+        outcome: Outcome,
+        /// What was said of it.
+        cause: Cause,
+        /// The server's load.
+        load: LoadReport,
+    },
+    /// A report outside an attempt, or a probe's answer (`answered` is false when none came).
+    Load {
+        /// The server.
+        server: ServerId,
+        /// It answered.
+        answered: bool,
+        /// Its load.
+        load: LoadReport,
+    },
+    /// News of the server list.
+    List {
+        /// What the list holds.
+        scope: ListScope,
+        /// Its lines.
+        entries: Vec<ServerEntry>,
+    },
+    /// A server's process is known to have ended at `at`, or by then: what it held from before is cut.
+    Lost {
+        /// The server.
+        server: ServerId,
+        /// When.
+        at: Micros,
+    },
+    /// Time has passed; the next input is wanted by [`Gateway::next_due`].
+    Tick,
+    /// The program ends: every call is brought to its end now.
+    Close,
+}
+
+/// What a front is to do. Commands are carried out in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a set-up to a server. The front says `Ended` with `Unreachable` if it could not start to.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where.
+        server: ServerId,
+        /// How long the gatekeeper will wait.
+        left: Micros,
+        /// The caller's description.
+        description: Bytes,
+    },
+    /// Give an attempt up that has no answer yet.
+    GiveUp {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where.
+        server: ServerId,
+    },
+    /// Release at the server what stands there, or a late answer that nobody waits for.
+    Release {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where.
+        server: ServerId,
+    },
+    /// Final answer: the call stands.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The server's description.
+        description: Bytes,
+    },
+    /// Final answer: turned away; the caller may come back after `wait`.
+    Refuse {
+        /// The call.
+        call: CallId,
+        /// How long to stay away; 0: no advice.
+        wait: Micros,
+    },
+    /// Final answer: failed.
+    Fail {
+        /// The call.
+        call: CallId,
+    },
+    /// A call that stood is over: release it towards the caller.
+    Over {
+        /// The call.
+        call: CallId,
+        /// `Completed`, `Cut` or `Cancelled`.
+        outcome: Outcome,
+    },
+    /// Ask a server for its load.
+    Probe(ServerId),
+    /// Close idle connections to a server.
+    CloseIdle(ServerId),
+    /// A line for the log.
+    Note(String),
+    /// A last guard fired: a defect to trace.
+    Warn(String),
+}
+
+/// One gatekeeper's state. One instance a front.
+pub struct Gateway {
+    set: Settings,
+    module: Controller,
+    book: book::Book,
+    route: route::Route,
+    timers: BTreeSet<(Micros, u64)>,
+    /// What the module is still to be told.
+    news: VecDeque<Event>,
+    actions: Vec<Action>,
+    now: Micros,
+}
+
+impl Gateway {
+    /// A gatekeeper that knows its settings and nothing else.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        Gateway {
+            module: Controller::new(set.clone(), seed),
+            set,
+            book: book::Book::default(),
+            route: route::Route::default(),
+            timers: BTreeSet::new(),
+            news: VecDeque::new(),
+            actions: Vec::new(),
+            now: 0,
+        }
+    }
+
+    /// Takes one input and appends what is to be done. A smaller `now` than before counts as that.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::SetUp(set_up) => self.take_in(set_up, out),
+            Input::GivenUp(call) => self.given_up(call, out),
+            Input::HungUp(call) => self.hung_up(call, out),
+            Input::Stands { attempt, description } => self.stands(attempt, description, out),
+            Input::Ended { attempt, outcome, cause, load } => {
+                self.ended(attempt, outcome, cause, load, out);
+            }
+            Input::Load { server, answered, load } => {
+                self.news.push_back(Event::Load { server, answered, load });
+            }
+            Input::List { scope, entries } => {
+                self.route.learn(self.now, scope, &entries);
+                self.news.push_back(Event::List { scope, entries });
+            }
+            Input::Lost { server, at } => self.lost(server, at, out),
+            Input::Tick => {}
+            Input::Close => return self.close(out),
+        }
+        self.settle(out);
+        while let Some(at) = self.timers.first().map(|(at, _)| *at).filter(|at| *at <= self.now) {
+            while let Some((at, key)) = self.timers.first().copied().filter(|(t, _)| *t <= at) {
+                self.timers.remove(&(at, key));
+                self.news.push_back(Event::Timer { key });
+            }
+            self.settle(out);
+        }
+        self.expire(out);
+        self.settle(out);
+    }
+
+    /// When the next `Tick` is wanted, if nothing else comes first.
+    pub fn next_due(&self) -> Option<Micros> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        timer.into_iter().chain(self.book.next_due()).min()
+    }
+
+    /// Calls that are still owed a final answer.
+    pub fn open_calls(&self) -> usize {
+        self.book.open()
+    }
+
+    /// Calls that stand.
+    pub fn standing_calls(&self) -> usize {
+        self.book.standing()
+    }
+
+    /// Tells the module its news and carries its actions out, until neither is left.
+    fn settle(&mut self, out: &mut Vec<Command>) {
+        while let Some(event) = self.news.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Attempt { call, server, time_out } => self.attempt(call, server, time_out, out),
+                    Action::Cancel { call, attempt } => self.cancel(call, attempt, out),
+                    Action::Refuse { call, retry_after } => self.refuse(call, retry_after, out),
+                    Action::Fail { call } => self.fail(call, out),
+                    Action::Probe { server } => out.push(Command::Probe(server)),
+                    Action::CloseIdle { server } => out.push(Command::CloseIdle(server)),
+                    Action::SetTimer { delay, key } => {
+                        self.timers.insert((self.now + delay, key));
+                    }
+                    Action::Log { text } => out.push(Command::Note(text)),
+                    // The list comes unasked and there are no messages between gatekeepers here.
+                    Action::Tell { .. } | Action::WatchList { .. } | Action::FetchList => {}
+                }
+            }
+            self.actions = actions;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/route.rs
@@ -0,0 +1,44 @@
+//! Route: which servers there are and until when each may still be sent a set-up.
+
+use std::collections::BTreeMap;
+
+use crate::{ListScope, Micros, ServerEntry, ServerId, Status};
+
+/// The servers as last told. The module chooses among them; this is what its choice is checked against.
+#[derive(Default)]
+pub struct Route {
+    /// Status, and when it was first told that the server drains or is gone.
+    servers: BTreeMap<ServerId, (Status, Micros)>,
+}
+
+impl Route {
+    /// Takes the list's news.
+    pub fn learn(&mut self, now: Micros, scope: ListScope, entries: &[ServerEntry]) {
+        if scope != ListScope::Changes {
+            for (id, held) in &mut self.servers {
+                if !entries.iter().any(|e| e.server == *id) {
+                    *held = turned(*held, Status::Removed, now);
+                }
+            }
+        }
+        for e in entries {
+            let held = self.servers.entry(e.server).or_insert((Status::Up, now));
+            *held = turned(*held, e.status, now);
+        }
+    }
+
+    /// May a set-up still go there? From the news that a server drains or is gone, `grace` remains at most;
+    /// an unlisted server gets nothing.
+    pub fn open(&self, server: ServerId, now: Micros, grace: Micros) -> bool {
+        match self.servers.get(&server) {
+            Some((Status::Up, _)) => true,
+            Some((_, told)) => now < told.saturating_add(grace),
+            None => false,
+        }
+    }
+}
+
+/// A repeat of the same news does not start the window again, nor does a drain that becomes a removal.
+fn turned((was, told): (Status, Micros), is: Status, now: Micros) -> (Status, Micros) {
+    if was != Status::Up && is != Status::Up { (is, told) } else { (is, now) }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,8 +36,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
+pub mod clock;
+pub mod config;
 mod decide;
+pub mod gateway;
 mod interface;
+pub mod list;
+pub mod platform;
 
 pub use decide::Controller;
 pub use interface::*;
--- /dev/null
+++ b/src/list/dns.rs
@@ -0,0 +1,116 @@
+//! The list in DNS records: SRV names the servers, A their addresses, TXT kind, cell and start; the SOA's
+//! serial numbers the list. With DNS-SD (RFC 6763), PTR names the instances that SRV and TXT describe.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+
+use hickory_proto::op::{Message, Query};
+use hickory_proto::rr::rdata::TXT;
+use hickory_proto::rr::{Name, RData, RecordType};
+
+use crate::{PoolId, Status};
+
+use super::Listed;
+
+/// A question, ready to be sent, and its id.
+pub fn question(name: &str, kind: RecordType) -> Result<(u16, Vec<u8>), String> {
+    let name = Name::from_str(name).map_err(|e| format!("{name}: {e}"))?;
+    let mut message = Message::query();
+    message.add_query(Query::query(name, kind));
+    let id = message.metadata.id;
+    message.to_vec().map(|bytes| (id, bytes)).map_err(|e| e.to_string())
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Service {
+    name: Name,
+    host: Name,
+    port: u16,
+    draining: bool,
+}
+
+/// What one answer says of the list; answers add up.
+#[derive(Default)]
+pub struct Records {
+    /// The number of the list's last event, from the SOA record.
+    pub serial: Option<u32>,
+    /// Instances named by PTR records.
+    pub instances: BTreeSet<Name>,
+    srv: BTreeSet<Service>,
+    hosts: BTreeMap<Name, IpAddr>,
+    texts: BTreeMap<Name, Vec<(String, String)>>,
+}
+
+impl Records {
+    /// Reads an answer to the question with this id; false if it is no such answer.
+    pub fn read(&mut self, id: u16, bytes: &[u8]) -> bool {
+        let Ok(message) = Message::from_vec(bytes) else { return false };
+        if message.metadata.id != id || message.metadata.truncation {
+            return false;
+        }
+        for record in message.all_sections() {
+            let name = record.name.to_lowercase();
+            match &record.data {
+                RData::SRV(srv) => {
+                    let host = srv.target.to_lowercase();
+                    self.srv.insert(Service { name, host, port: srv.port, draining: srv.priority > 0 });
+                }
+                RData::A(a) => {
+                    self.hosts.insert(name, IpAddr::V4(a.0));
+                }
+                RData::AAAA(a) => {
+                    self.hosts.entry(name).or_insert(IpAddr::V6(a.0));
+                }
+                RData::TXT(txt) => {
+                    self.texts.insert(name, pairs(txt));
+                }
+                RData::PTR(ptr) => {
+                    self.instances.insert(ptr.0.to_lowercase());
+                }
+                RData::SOA(soa) => self.serial = Some(soa.serial),
+                _ => {}
+            }
+        }
+        true
+    }
+
+    /// Hosts named by SRV records whose addresses are still unknown.
+    pub fn homeless(&self) -> Vec<Name> {
+        self.srv.iter().map(|s| &s.host).filter(|h| !self.hosts.contains_key(h)).cloned().collect()
+    }
+
+    /// Whether SRV records of this name have come.
+    pub fn has_service(&self, name: &Name) -> bool {
+        self.srv.iter().any(|s| s.name == *name)
+    }
+
+    /// The servers, one for each SRV record whose host has an address. A server's id is the first label of
+    /// its host; TXT records stand under the host or, with DNS-SD, under the instance.
+    pub fn servers(&self) -> Vec<Listed> {
+        let mut list = Vec::with_capacity(self.srv.len());
+        for service in &self.srv {
+            let Some(ip) = self.hosts.get(&service.host) else { continue };
+            let id = service.host.iter().next().map(String::from_utf8_lossy).unwrap_or_default();
+            let texts = self.texts.get(&service.host).or_else(|| self.texts.get(&service.name));
+            let figure = |key: &str| {
+                let value = texts?.iter().find(|(k, _)| k == key).map(|(_, v)| v.trim())?;
+                value.parse::<i64>().ok()
+            };
+            list.push(Listed {
+                id: id.into(),
+                address: SocketAddr::new(*ip, service.port),
+                pool: PoolId(figure("cell").unwrap_or(0)),
+                started_at: figure("started").unwrap_or(0).max(0) as u64 * 1000,
+                status: if service.draining { Status::Draining } else { Status::Up },
+            });
+        }
+        list
+    }
+}
+
+fn pairs(txt: &TXT) -> Vec<(String, String)> {
+    let text = |part: &[u8]| String::from_utf8_lossy(part).into_owned();
+    let split = |part: String| part.split_once('=').map(|(k, v)| (k.to_ascii_lowercase(), v.to_string()));
+    txt.txt_data.iter().filter_map(|part| split(text(part))).collect()
+}
--- /dev/null
+++ b/src/platform/link.rs
@@ -0,0 +1,131 @@
+//! One connection: its buffer in, its bounded buffer out, and the loop that moves both. Never waits for a peer
+//! that does not read.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+
+use bytes::{Buf, BytesMut};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::Notify;
+
+use super::line::{self, Line, Next};
+
+/// Most bytes that wait for a peer to read them; a peer that lets more pile up is cut off.
+const BACKLOG_BYTES: usize = 256 * 1024;
+/// The buffer grows from here to what its lines need.
+const FIRST_BYTES: usize = 2 * 1024;
+
+/// What is to be written to a connection.
+#[derive(Default)]
+pub struct Outbox {
+    bytes: RefCell<BytesMut>,
+    wake: Notify,
+    closed: Cell<bool>,
+}
+
+impl Outbox {
+    /// Queues a message; false if the connection is closed, or now given up because its peer does not read.
+    pub fn push(&self, message: &[u8]) -> bool {
+        if self.closed.get() {
+            return false;
+        }
+        let mut bytes = self.bytes.borrow_mut();
+        if bytes.len() + message.len() > BACKLOG_BYTES {
+            drop(bytes);
+            self.close();
+            return false;
+        }
+        bytes.extend_from_slice(message);
+        self.wake.notify_one();
+        true
+    }
+
+    /// Whether everything has been written.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.borrow().is_empty()
+    }
+
+    /// Ends the connection once what is queued has been written, as far as the peer takes it at once.
+    pub fn close(&self) {
+        self.closed.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Whether the connection is open for messages.
+    pub fn is_open(&self) -> bool {
+        !self.closed.get()
+    }
+}
+
+/// Moves a connection's bytes until it ends; gives `on_line` each message, and `on_drained` the word that
+/// everything queued has been written. `on_line` returns false to end the connection.
+pub async fn run(
+    mut stream: TcpStream,
+    outbox: Rc<Outbox>,
+    on_line: impl FnMut(Line) -> bool,
+    on_drained: impl FnMut(),
+) -> io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    let (input, output) = stream.split();
+    let result = tokio::select! {
+        result = read(input, on_line) => result,
+        result = write(output, &outbox, on_drained) => result,
+    };
+    outbox.close();
+    let _ = stream.try_write(&outbox.bytes.borrow());
+    result
+}
+
+async fn read(mut input: ReadHalf<'_>, mut on_line: impl FnMut(Line) -> bool) -> io::Result<()> {
+    let mut buffer = BytesMut::with_capacity(FIRST_BYTES);
+    let mut seen = 0;
+    loop {
+        // `reserve` moves what is left to the buffer's start before it grows it.
+        buffer.reserve(FIRST_BYTES / 2);
+        if input.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+        loop {
+            match line::next(&mut buffer, &mut seen) {
+                Next::More => break,
+                Next::Line(line) => {
+                    if !on_line(line) {
+                        return Err(io::ErrorKind::InvalidData.into());
+                    }
+                }
+                Next::Broken => return Err(io::ErrorKind::InvalidData.into()),
+            }
+        }
+    }
+}
+
+async fn write(output: WriteHalf<'_>, outbox: &Outbox, mut on_drained: impl FnMut()) -> io::Result<()> {
+    loop {
+        while outbox.is_empty() {
+            if outbox.closed.get() {
+                return Ok(());
+            }
+            outbox.wake.notified().await;
+        }
+        let written = output.try_write(&outbox.bytes.borrow());
+        match written {
+            Ok(n) => outbox.bytes.borrow_mut().advance(n),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                if outbox.closed.get() {
+                    return Ok(());
+                }
+                tokio::select! {
+                    ready = output.writable() => ready?,
+                    () = outbox.wake.notified() => {}
+                }
+            }
+            Err(e) => return Err(e),
+        }
+        if outbox.is_empty() {
+            on_drained();
+        }
+    }
+}
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -1,8 +1,8 @@
 //! One test for each failure found: taken out, the defence's test fails.
 
 mod common;
-use common::*;
 use cobaltspool::*;
+use common::*;
 
 fn load(free: f64, lines: f64) -> LoadReport {
     LoadReport { free_lines: Some(free), lines: Some(lines), ..LoadReport::default() }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! The design's mechanism, step by step, against figures worked out by hand.
 
 mod common;
-use common::*;
 use cobaltspool::*;
+use common::*;
 
 /// A wait of 250 ms is half of the resend time of 500 ms and so stands for P_MAX = 0.80; others in proportion.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules, each by its own guard.
 
 mod common;
-use common::*;
 use cobaltspool::*;
+use common::*;
 
 const NO_LOAD: LoadReport = LoadReport {
     busy: None,
