--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,37 +4,50 @@
 
 use bpaf::{OptionParser, Parser, construct, long, pure};
 
+/// Which fronts the program has.
+#[derive(Clone, Debug)]
+pub struct Fronts {
+    /// The platform's configuration.
+    pub config: Option<PathBuf>,
+    /// The SIP front's configuration.
+    pub sip: Option<PathBuf>,
+}
+
 /// What the program is asked to do.
 #[derive(Clone, Debug)]
 pub enum Task {
     /// Run a gatekeeper.
-    Serve {
-        /// The platform's configuration.
-        config: PathBuf,
-    },
+    Serve(Fronts),
     /// Say which version this is.
     Version,
-    /// Read a configuration and say what is in it.
-    CheckConfig {
-        /// The platform's configuration.
-        config: PathBuf,
-    },
+    /// Read the configuration and say what is in it.
+    CheckConfig(Fronts),
+}
+
+fn fronts() -> impl Parser<Fronts> {
+    let config = long("config")
+        .env("LB_CONFIG")
+        .help("the platform front's configuration, as JSON")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let sip = long("sip")
+        .help("the SIP front's configuration, as JSON; without it there is no SIP front")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Fronts { config, sip })
+        .guard(|f| f.config.is_some() || f.sip.is_some(), "give --config (or LB_CONFIG), --sip, or both")
 }
 
 /// The parser of the command line.
 pub fn parser() -> OptionParser<Task> {
-    let config = || {
-        long("config")
-            .env("LB_CONFIG")
-            .help("the gatekeeper's configuration, as JSON")
-            .argument::<PathBuf>("FILE")
-    };
-    let serve = construct!(Task::Serve { config(config()) })
+    let serve = fronts()
+        .map(Task::Serve)
         .to_options()
         .descr("Runs a gatekeeper until it is told to stop")
         .command("serve");
     let version = pure(Task::Version).to_options().descr("Prints the version").command("version");
-    let check = construct!(Task::CheckConfig { config(config()) })
+    let check = fronts()
+        .map(Task::CheckConfig)
         .to_options()
         .descr("Reads a configuration and says what is in it")
         .command("check-config");
--- a/src/config.rs
+++ b/src/config.rs
@@ -35,6 +35,34 @@
     pub longest_wait: Micros,
 }
 
+/// What the SIP front is told.
+#[derive(Clone, Debug)]
+pub struct SipConfig {
+    /// Its name.
+    pub name: String,
+    /// Where it listens over UDP.
+    pub udp: SocketAddr,
+    /// Where it listens over TCP.
+    pub tcp: SocketAddr,
+    /// The resolver.
+    pub dns: SocketAddr,
+    /// The DNS-SD service whose instances are the servers, as in `_sip._udp.pool.lan`; its second label is
+    /// the transport towards them.
+    pub service: String,
+    /// For random numbers.
+    pub seed: u64,
+    /// T1 of RFC 3261.
+    pub t1: Micros,
+    /// How long a caller waits at most.
+    pub wait: Micros,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes, by their place in the settings.
+    pub classes: Vec<String>,
+    /// TCP connections are bounded by this.
+    pub dial_timeout: Micros,
+}
+
 /// A JSON object, read by key. Errors name the key.
 pub struct Object<'a>(&'a HashMap<String, JsonValue>);
 
@@ -95,18 +123,8 @@
     let top = Object::of(&json, "the configuration")?;
     let seed = u64::from_str_radix(top.text("seed")?, 16).map_err(|_| "'seed' is not hexadecimal")?;
     let settings = top.object("settings")?;
-    let services = settings.list("services")?;
-    if services.is_empty() {
-        return Err("'services' is missing or empty".to_string());
-    }
     let known = top.object("known")?;
-    let mut classes = Vec::new();
-    let mut longest_wait = 0;
-    for service in services {
-        let service = Object::of(service, "a service")?;
-        classes.push(service.text("name")?.to_string());
-        longest_wait = longest_wait.max(service.count("hard-limit-us")?);
-    }
+    let (classes, longest_wait) = class_names(&settings)?;
     Ok(Config {
         name: top.text("name")?.to_string(),
         listen: top.address("listen")?,
@@ -122,6 +140,43 @@
     })
 }
 
+/// Decodes the SIP front's configuration.
+pub fn decode_sip(text: &str) -> Result<SipConfig, String> {
+    let json: JsonValue = text.parse().map_err(|e| format!("not JSON: {e}"))?;
+    let top = Object::of(&json, "the configuration")?;
+    let settings = top.object("settings")?;
+    let (classes, longest_wait) = class_names(&settings)?;
+    let or = |given: u64, default: u64| if given > 0 { given } else { default };
+    let service = top.text("service")?;
+    if !service.split('.').any(|label| label == "_udp" || label == "_tcp") {
+        return Err("'service' names neither _udp nor _tcp".to_string());
+    }
+    Ok(SipConfig {
+        name: top.text("name")?.to_string(),
+        udp: top.address("udp")?,
+        tcp: top.address("tcp")?,
+        dns: top.address("dns")?,
+        service: service.to_string(),
+        seed: u64::from_str_radix(top.text("seed")?, 16).map_err(|_| "'seed' is not hexadecimal")?,
+        t1: or(top.count("t1_ms")?, 500) * 1000,
+        wait: or(top.count("wait_ms")? * 1000, longest_wait),
+        settings: decode_settings(&settings)?,
+        classes,
+        dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
+    })
+}
+
+/// The classes' names, and the longest time that a caller waits.
+fn class_names(settings: &Object) -> Result<(Vec<String>, Micros), String> {
+    let (mut names, mut longest) = (Vec::new(), 0);
+    for service in settings.list("services")? {
+        let service = Object::of(service, "a service")?;
+        names.push(service.text("name")?.to_string());
+        longest = longest.max(service.count("hard-limit-us")?);
+    }
+    if names.is_empty() { Err("'services' is missing or empty".to_string()) } else { Ok((names, longest)) }
+}
+
 fn decode_settings(settings: &Object) -> Result<Settings, String> {
     let (limits, figures) = (settings.object("ceilings")?, settings.object("rules")?);
     let domain = settings.object("domain")?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,8 +42,10 @@
 mod decide;
 pub mod gateway;
 mod interface;
+mod link;
 pub mod list;
 pub mod platform;
+pub mod sip;
 
 pub use decide::Controller;
 pub use interface::*;
--- a/src/platform/link.rs
+++ b/src/link.rs
@@ -11,11 +11,9 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
 
-use super::line::{self, Line, Next};
-
 /// Most bytes that wait for a peer to read them; a peer that lets more pile up is cut off.
 const BACKLOG_BYTES: usize = 256 * 1024;
-/// The buffer grows from here to what its lines need.
+/// The buffer grows from here to what its messages need.
 const FIRST_BYTES: usize = 2 * 1024;
 
 /// What is to be written to a connection.
@@ -60,18 +58,18 @@
     }
 }
 
-/// Moves a connection's bytes until it ends; gives `on_line` each message, and `on_drained` the word that
-/// everything queued has been written. `on_line` returns false to end the connection.
+/// Moves a connection's bytes until it ends. `on_bytes` takes whole messages out of the buffer's front and leaves
+/// the rest; it returns false to end the connection. `on_drained` hears when everything queued has been written.
 pub async fn run(
     mut stream: TcpStream,
     outbox: Rc<Outbox>,
-    on_line: impl FnMut(Line) -> bool,
+    on_bytes: impl FnMut(&mut BytesMut) -> bool,
     on_drained: impl FnMut(),
 ) -> io::Result<()> {
     let _ = stream.set_nodelay(true);
     let (input, output) = stream.split();
     let result = tokio::select! {
-        result = read(input, on_line) => result,
+        result = read(input, on_bytes) => result,
         result = write(output, &outbox, on_drained) => result,
     };
     outbox.close();
@@ -79,25 +77,16 @@
     result
 }
 
-async fn read(mut input: ReadHalf<'_>, mut on_line: impl FnMut(Line) -> bool) -> io::Result<()> {
+async fn read(mut input: ReadHalf<'_>, mut on_bytes: impl FnMut(&mut BytesMut) -> bool) -> io::Result<()> {
     let mut buffer = BytesMut::with_capacity(FIRST_BYTES);
-    let mut seen = 0;
     loop {
         // `reserve` moves what is left to the buffer's start before it grows it.
         buffer.reserve(FIRST_BYTES / 2);
         if input.read_buf(&mut buffer).await? == 0 {
             return Ok(());
         }
-        loop {
-            match line::next(&mut buffer, &mut seen) {
-                Next::More => break,
-                Next::Line(line) => {
-                    if !on_line(line) {
-                        return Err(io::ErrorKind::InvalidData.into());
-                    }
-                }
-                Next::Broken => return Err(io::ErrorKind::InvalidData.into()),
-            }
+        if !on_bytes(&mut buffer) {
+            return Err(io::ErrorKind::InvalidData.into());
         }
     }
 }
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -11,10 +11,10 @@
 
 use crate::clock;
 use crate::gateway::{Input, SetUp};
+use crate::link::{self, Outbox};
 use crate::{CallId, Micros, Number, PoolId};
 
-use super::line::{Line, Tag, Verb, cause, encode, figures};
-use super::link::{self, Outbox};
+use super::line::{Line, Tag, Verb, cause, encode, figures, reader};
 use super::{Front, LinkId, Shared};
 
 /// How long a release waits for a connection to go out on; later it would not count any more.
@@ -74,7 +74,7 @@
     let id = front.borrow_mut().new_link();
     front.borrow_mut().clients.add(id, ClientLink { outbox: outbox.clone(), peer, open: BTreeSet::new() });
     let on_line = |line: Line| front.borrow_mut().client_says(id, line);
-    let _ = link::run(stream, outbox, on_line, || {}).await;
+    let _ = link::run(stream, outbox, reader(on_line), || {}).await;
     front.borrow_mut().client_left(id);
 }
 
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -251,3 +251,20 @@
         }
     }
 }
+
+/// A connection's reader: gives `on_line` each message that has come whole, until one cannot be read or
+/// `on_line` returns false.
+pub fn reader(mut on_line: impl FnMut(Line) -> bool) -> impl FnMut(&mut BytesMut) -> bool {
+    let mut seen = 0;
+    move |buffer| loop {
+        match next(buffer, &mut seen) {
+            Next::More => return true,
+            Next::Broken => return false,
+            Next::Line(line) => {
+                if !on_line(line) {
+                    return false;
+                }
+            }
+        }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,10 @@
 //! The platform's front: JSON lines over TCP, towards callers and towards setup servers.
 //!
-//! `line` is the codec, `link` moves one connection's bytes, `clients` and `servers` keep the two sides, and
+//! `line` is the codec, `clients` and `servers` keep the two sides, and
 //! [`Front`] joins them to the core.
 
 pub mod clients;
 pub mod line;
-mod link;
 pub mod servers;
 
 use std::cell::RefCell;
@@ -57,6 +56,8 @@
 pub async fn serve(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    log(&format!("{} serves on {address}", config.name));
     let front = Front::start(&config);
     let wake = front.borrow().wake.clone();
     for (scope, list) in config.known.clone() {
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -11,10 +11,10 @@
 
 use crate::clock;
 use crate::gateway::{AttemptId, Input};
+use crate::link::{self, Outbox};
 use crate::{CallId, Cause, LoadReport, Micros, Outcome, ServerId};
 
-use super::line::{Line, Tag, Verb, cause, encode};
-use super::link::{self, Outbox};
+use super::line::{Line, Tag, Verb, cause, encode, reader};
 use super::{Front, LinkId, Shared};
 
 /// A connection from which an answer is awaited and nothing at all was heard for this long may be cut: cut
@@ -105,7 +105,7 @@
         true
     };
     let on_drained = || front.borrow_mut().servers.flush(id);
-    let _ = link::run(stream, outbox, on_line, on_drained).await;
+    let _ = link::run(stream, outbox, reader(on_line), on_drained).await;
     front.borrow_mut().link_ended(id);
 }
 
--- /dev/null
+++ b/src/sip/dialog.rs
@@ -0,0 +1,81 @@
+//! Dialogs (RFC 3261 §12): what both ends know of each other, and the requests made from it.
+
+use super::message::{Message, address, split_list};
+
+/// One of the two dialogs of a call: towards its caller, or towards its server.
+#[derive(Clone, Debug)]
+pub struct Dialog {
+    /// Call-ID.
+    pub call_id: String,
+    /// Our From or To value, with our tag.
+    pub local: String,
+    /// The peer's, with its tag.
+    pub remote: String,
+    /// The peer's Contact: where requests go.
+    pub target: String,
+    /// The route set, in the order in which requests carry it.
+    pub route: Vec<String>,
+    /// Our last CSeq number.
+    pub local_seq: u32,
+    /// The peer's last CSeq number.
+    pub remote_seq: u32,
+}
+
+impl Dialog {
+    /// The dialog that our 2xx to an INVITE makes (§12.1.1).
+    pub fn of_server(invite: &Message, answer: &Message) -> Option<Dialog> {
+        Some(Dialog {
+            call_id: invite.get("Call-ID")?.to_string(),
+            local: answer.get("To")?.to_string(),
+            remote: invite.get("From")?.to_string(),
+            target: address(invite.get("Contact")?).to_string(),
+            route: routes(invite).collect(),
+            local_seq: 0,
+            remote_seq: invite.cseq()?.0,
+        })
+    }
+
+    /// The dialog that a peer's 2xx to our INVITE makes (§12.1.2).
+    pub fn of_client(invite: &Message, answer: &Message) -> Option<Dialog> {
+        let mut route: Vec<String> = routes(answer).collect();
+        route.reverse();
+        let target = answer.get("Contact").map(address).or(invite.uri())?;
+        Some(Dialog {
+            call_id: invite.get("Call-ID")?.to_string(),
+            local: invite.get("From")?.to_string(),
+            remote: answer.get("To")?.to_string(),
+            target: target.to_string(),
+            route,
+            local_seq: invite.cseq()?.0,
+            remote_seq: 0,
+        })
+    }
+
+    /// A request in the dialog (§12.2.1.1), without its Via. The ACK of a 2xx has its INVITE's number.
+    pub fn request(&mut self, method: &str) -> Message {
+        if method != "ACK" {
+            self.local_seq += 1;
+        }
+        let mut request = Message::request(method, &self.target);
+        for route in &self.route {
+            request.add("Route", route);
+        }
+        request.add("Max-Forwards", "70");
+        request.add("From", &self.local);
+        request.add("To", &self.remote);
+        request.add("Call-ID", &self.call_id);
+        request.add("CSeq", &format!("{} {method}", self.local_seq));
+        request
+    }
+
+    /// Takes the number of a request of the peer; false if it is older than one before (§12.2.2).
+    pub fn in_order(&mut self, seq: u32) -> bool {
+        let in_order = self.remote_seq == 0 || seq > self.remote_seq;
+        self.remote_seq = self.remote_seq.max(seq);
+        in_order
+    }
+}
+
+fn routes(message: &Message) -> impl Iterator<Item = String> {
+    message.all("Record-Route").flat_map(split_list).map(str::to_string)
+}
--- /dev/null
+++ b/src/sip/message.rs
@@ -0,0 +1,362 @@
+//! SIP messages (RFC 3261 §7, §20, §25): reading, writing, and the parts of header fields that are used here.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// The longest head of a message, and the longest body.
+pub const HEAD_BYTES: usize = 32 * 1024;
+/// See [`HEAD_BYTES`].
+pub const BODY_BYTES: usize = 64 * 1024;
+
+/// The first line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Start {
+    /// A request: method and Request-URI.
+    Request(String, String),
+    /// A response: status code and reason phrase.
+    Status(u16, String),
+}
+
+/// A message. Header names are in their long form; their order is kept.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// The first line.
+    pub start: Start,
+    /// The header fields.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What stands at the front of a stream.
+#[derive(Debug)]
+pub enum Next {
+    /// A message, well-formed as far as framing goes.
+    Message(Message),
+    /// No whole message yet.
+    More,
+    /// No message can be made out any more: the stream is of no use.
+    Broken,
+}
+
+impl Message {
+    /// A request without header fields.
+    pub fn request(method: &str, uri: &str) -> Message {
+        let start = Start::Request(method.to_string(), uri.to_string());
+        Message { start, headers: Vec::new(), body: Bytes::new() }
+    }
+
+    /// A response to a request (§8.2.6): Via, From, To, Call-ID and CSeq are the request's; `to_tag` is added
+    /// where the request had none.
+    pub fn response(request: &Message, code: u16, to_tag: Option<&str>) -> Message {
+        let start = Start::Status(code, reason(code).to_string());
+        let mut message = Message { start, headers: Vec::new(), body: Bytes::new() };
+        for (name, value) in &request.headers {
+            match name.as_str() {
+                "Via" | "From" | "Call-ID" | "CSeq" => message.add(name, value),
+                "Record-Route" if (101..300).contains(&code) => message.add(name, value),
+                "To" => match to_tag.filter(|_| param(value, "tag").is_none()) {
+                    Some(tag) => message.add(name, &format!("{value};tag={tag}")),
+                    None => message.add(name, value),
+                },
+                _ => {}
+            }
+        }
+        message
+    }
+
+    /// Appends a header field.
+    pub fn add(&mut self, name: &str, value: &str) {
+        self.headers.push((name.to_string(), value.to_string()));
+    }
+
+    /// The first header field of a name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// All header fields of a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> + 'a {
+        self.headers.iter().filter(move |(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// Method, for a request.
+    pub fn method(&self) -> Option<&str> {
+        if let Start::Request(method, _) = &self.start { Some(method) } else { None }
+    }
+
+    /// Request-URI, for a request.
+    pub fn uri(&self) -> Option<&str> {
+        if let Start::Request(_, uri) = &self.start { Some(uri) } else { None }
+    }
+
+    /// Status code, for a response.
+    pub fn code(&self) -> Option<u16> {
+        if let Start::Status(code, _) = &self.start { Some(*code) } else { None }
+    }
+
+    /// Number and method of the CSeq header field.
+    pub fn cseq(&self) -> Option<(u32, &str)> {
+        let (number, method) = self.get("CSeq")?.split_once(char::is_whitespace)?;
+        Some((number.parse().ok()?, method.trim()))
+    }
+
+    /// The topmost Via's value.
+    pub fn top_via(&self) -> Option<&str> {
+        self.get("Via").and_then(|v| split_list(v).next())
+    }
+
+    /// The topmost Via's branch.
+    pub fn branch(&self) -> Option<&str> {
+        self.top_via().and_then(|v| param(v, "branch"))
+    }
+
+    /// The tag of From or To.
+    pub fn tag(&self, name: &str) -> Option<&str> {
+        self.get(name).and_then(|v| param(v, "tag"))
+    }
+
+    /// Sets the topmost Via's value.
+    pub fn set_top_via(&mut self, value: &str) {
+        if let Some((_, via)) = self.headers.iter_mut().find(|(n, _)| n == "Via") {
+            let rest: Vec<&str> = split_list(via).skip(1).collect();
+            *via = [value].into_iter().chain(rest).collect::<Vec<_>>().join(", ");
+        }
+    }
+
+    /// Writes the message.
+    pub fn to_bytes(&self) -> Bytes {
+        let mut out = match &self.start {
+            Start::Request(method, uri) => format!("{method} {uri} SIP/2.0\r\n"),
+            Start::Status(code, reason) => format!("SIP/2.0 {code} {reason}\r\n"),
+        };
+        for (name, value) in self.headers.iter().filter(|(n, _)| n != "Content-Length") {
+            out.push_str(&format!("{name}: {value}\r\n"));
+        }
+        out.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
+        let mut bytes = out.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes.into()
+    }
+
+    /// What is wrong with a message whose framing was sound (§8.1.1, §8.2); `None` if nothing is.
+    pub fn fault(&self) -> Option<&'static str> {
+        for name in ["Via", "From", "To", "Call-ID", "CSeq"] {
+            if self.get(name).is_none_or(str::is_empty) {
+                return Some("a mandatory header field is missing");
+            }
+            if name != "Via" && self.all(name).count() > 1 {
+                return Some("a header field stands twice");
+            }
+        }
+        let Some((number, method)) = self.cseq() else { return Some("CSeq cannot be read") };
+        if number > i32::MAX as u32 {
+            return Some("the CSeq number is too large");
+        }
+        if self.top_via().and_then(sent_by).is_none() {
+            return Some("Via cannot be read");
+        }
+        if self.tag("From").is_none() {
+            return Some("From has no tag");
+        }
+        if let Start::Request(own, uri) = &self.start {
+            if own != method {
+                return Some("CSeq names another method");
+            }
+            if self.branch().is_none_or(|b| !b.starts_with("z9hG4bK")) {
+                return Some("Via has no RFC 3261 branch");
+            }
+            if !uri.contains(':') {
+                return Some("the Request-URI cannot be read");
+            }
+        }
+        None
+    }
+}
+
+/// Reads a datagram; `None` if it is no SIP message. Bytes past Content-Length are dropped (§18.3).
+pub fn read_datagram(bytes: &[u8]) -> Option<Result<Message, Message>> {
+    let start = bytes.iter().position(|b| !b.is_ascii_whitespace())?;
+    let bytes = &bytes[start..];
+    let head = find_head(bytes)?;
+    let mut message = read_head(&bytes[..head])?;
+    let body = &bytes[head + 4..];
+    let length = match message.get("Content-Length") {
+        Some(length) => length.trim().parse::<usize>().ok(),
+        None => Some(body.len()),
+    };
+    match length.filter(|n| *n <= body.len()) {
+        Some(length) => {
+            message.body = Bytes::copy_from_slice(&body[..length]);
+            Some(Ok(message))
+        }
+        None => Some(Err(message)),
+    }
+}
+
+/// Takes the next message out of a stream's buffer; Content-Length frames it (§18.3).
+pub fn next(buffer: &mut BytesMut) -> Next {
+    while buffer.first().is_some_and(u8::is_ascii_whitespace) {
+        buffer.advance(1); // a keep-alive between messages
+    }
+    let Some(head) = find_head(buffer) else {
+        return if buffer.len() > HEAD_BYTES { Next::Broken } else { Next::More };
+    };
+    let Some(mut message) = read_head(&buffer[..head]) else { return Next::Broken };
+    let length = message.get("Content-Length").and_then(|l| l.trim().parse::<usize>().ok());
+    let Some(length) = length.filter(|n| *n <= BODY_BYTES && head <= HEAD_BYTES) else { return Next::Broken };
+    if buffer.len() < head + 4 + length {
+        return Next::More;
+    }
+    buffer.advance(head + 4);
+    message.body = buffer.split_to(length).freeze();
+    Next::Message(message)
+}
+
+fn find_head(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(4).position(|w| w == b"\r\n\r\n")
+}
+
+fn read_head(head: &[u8]) -> Option<Message> {
+    let text = std::str::from_utf8(head).ok()?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next()?;
+    let start = match first.strip_prefix("SIP/2.0 ") {
+        Some(rest) => {
+            let (code, reason) = rest.split_once(' ').unwrap_or((rest, ""));
+            let code = code.parse().ok().filter(|c| (100..700).contains(c))?;
+            Start::Status(code, reason.to_string())
+        }
+        None => {
+            let mut words = first.split(' ');
+            let (method, uri) = (words.next()?, words.next()?);
+            let token = |b: u8| b.is_ascii_alphanumeric() || b"-.!%*_+`'~".contains(&b);
+            if words.next() != Some("SIP/2.0") || words.next().is_some() || !method.bytes().all(token) {
+                return None;
+            }
+            Start::Request(method.to_string(), uri.to_string())
+        }
+    };
+    let mut headers: Vec<(String, String)> = Vec::new();
+    for line in lines {
+        if line.starts_with([' ', '\t']) {
+            let (_, value) = headers.last_mut()?;
+            value.push(' ');
+            value.push_str(line.trim());
+            continue;
+        }
+        let (name, value) = line.split_once(':')?;
+        headers.push((long_form(name.trim()), value.trim().to_string()));
+    }
+    Some(Message { start, headers, body: Bytes::new() })
+}
+
+/// Names are compared without case and compact forms stand for long ones (§7.3.3).
+fn long_form(name: &str) -> String {
+    const KNOWN: [(&str, &str); 16] = [
+        ("v", "Via"),
+        ("f", "From"),
+        ("t", "To"),
+        ("i", "Call-ID"),
+        ("m", "Contact"),
+        ("l", "Content-Length"),
+        ("c", "Content-Type"),
+        ("s", "Subject"),
+        ("k", "Supported"),
+        ("e", "Content-Encoding"),
+        ("", "CSeq"),
+        ("", "Record-Route"),
+        ("", "Retry-After"),
+        ("", "Expires"),
+        ("", "Session-ID"),
+        ("", "Max-Forwards"),
+    ];
+    let known = KNOWN
+        .iter()
+        .find(|(short, long)| name.eq_ignore_ascii_case(long) || name.eq_ignore_ascii_case(short));
+    known.map_or_else(|| name.to_string(), |(_, long)| long.to_string())
+}
+
+/// The parts of a header field that lists values, split at commas outside quotes and angle brackets.
+pub fn split_list(value: &str) -> impl Iterator<Item = &str> {
+    let (mut quoted, mut angle) = (false, false);
+    let parts = value.split(move |c| {
+        match c {
+            '"' => quoted = !quoted,
+            '<' if !quoted => angle = true,
+            '>' if !quoted => angle = false,
+            _ => {}
+        }
+        c == ',' && !quoted && !angle
+    });
+    parts.map(str::trim).filter(|p| !p.is_empty())
+}
+
+/// A parameter of a header field's value, outside its address.
+pub fn param<'a>(value: &'a str, name: &str) -> Option<&'a str> {
+    let outside = value.rsplit_once('>').map_or(value, |(_, rest)| rest);
+    outside.split(';').skip(1).find_map(|part| {
+        let (key, value) = part.split_once('=').unwrap_or((part, ""));
+        key.trim().eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// The address in a From, To or Contact value.
+pub fn address(value: &str) -> &str {
+    match value.split_once('<').and_then(|(_, rest)| rest.split_once('>')) {
+        Some((address, _)) => address.trim(),
+        None => value.split(';').next().unwrap_or(value).trim(),
+    }
+}
+
+/// Host and port of a Via value; the port is 5060 where none stands.
+pub fn sent_by(via: &str) -> Option<(&str, u16)> {
+    let (protocol, rest) = via.split_once(char::is_whitespace)?;
+    if !protocol.starts_with("SIP/2.0/") {
+        return None;
+    }
+    host_port(rest.split(';').next()?.trim())
+}
+
+/// Splits host and port.
+pub fn host_port(text: &str) -> Option<(&str, u16)> {
+    let (host, port) = match text.rsplit_once(':').filter(|(h, _)| !h.contains(':') || h.ends_with(']')) {
+        Some((host, port)) => (host, port.trim().parse().ok()?),
+        None => (text, 5060),
+    };
+    (!host.trim().is_empty()).then(|| (host.trim(), port))
+}
+
+/// User and host part of a SIP URI, with the URI's parameters behind.
+pub fn uri_parts(uri: &str) -> (Option<&str>, &str, &str) {
+    let rest = uri.split_once(':').map_or(uri, |(_, rest)| rest);
+    let rest = rest.split('?').next().unwrap_or(rest);
+    let (user, host) = rest.rsplit_once('@').map_or((None, rest), |(user, host)| (Some(user), host));
+    let (host, params) = host.split_once(';').unwrap_or((host, ""));
+    (user, host, params)
+}
+
+/// The reason phrase of a status code (§21).
+pub fn reason(code: u16) -> &'static str {
+    match code {
+        100 => "Trying",
+        180 => "Ringing",
+        183 => "Session Progress",
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        480 => "Temporarily Unavailable",
+        481 => "Call/Transaction Does Not Exist",
+        482 => "Loop Detected",
+        483 => "Too Many Hops",
+        486 => "Busy Here",
+        487 => "Request Terminated",
+        488 => "Not Acceptable Here",
+        500 => "Server Internal Error",
+        503 => "Service Unavailable",
+        _ if code >= 600 => "Global Failure",
+        _ if code >= 500 => "Server Failure",
+        _ => "Request Failure",
+    }
+}
--- /dev/null
+++ b/src/sip/transport.rs
@@ -0,0 +1,208 @@
+//! Transports (RFC 3261 §18): one UDP socket, one TCP listener, and TCP connections, which are dialled as needed.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use crate::clock;
+use crate::link::{self, Outbox};
+
+use super::message::{self, Next};
+use super::{Front, Shared};
+
+/// The longest datagram.
+const DATAGRAM_BYTES: usize = 65_535;
+/// Most TCP connections at a time.
+const CONNECTIONS_MOST: usize = 256;
+
+/// A number of our own for a TCP connection; never used twice.
+pub type ConnId = u64;
+
+/// Where a message goes to, or came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// A UDP address.
+    Udp(SocketAddr),
+    /// A TCP address, and the connection to be used while it is open.
+    Tcp(SocketAddr, Option<ConnId>),
+}
+
+impl Peer {
+    /// Whether the transport is reliable.
+    pub fn reliable(&self) -> bool {
+        matches!(self, Peer::Tcp(..))
+    }
+}
+
+struct Conn {
+    address: SocketAddr,
+    outbox: Rc<Outbox>,
+    up: bool,
+    /// What waits for the connection to come up, or for its peer to read; with its transaction's branch.
+    held: Vec<(String, Bytes)>,
+}
+
+/// What is open.
+pub struct Transport {
+    udp: Rc<UdpSocket>,
+    /// Our address in Via and Contact, by transport.
+    pub udp_address: SocketAddr,
+    /// See `udp_address`.
+    pub tcp_address: SocketAddr,
+    conns: BTreeMap<ConnId, Conn>,
+    next: ConnId,
+    dial_timeout: Duration,
+    /// Connections to be dialled; the front starts them once its state is its own again.
+    dials: Vec<ConnId>,
+}
+
+impl Transport {
+    /// A transport on an open socket.
+    pub fn new(udp: Rc<UdpSocket>, udp_address: SocketAddr, tcp_address: SocketAddr, dial: Duration) -> Self {
+        let (conns, dials) = (BTreeMap::new(), Vec::new());
+        Transport { udp, udp_address, tcp_address, conns, next: 0, dial_timeout: dial, dials }
+    }
+
+    /// Sends a message; the branch names it until it is written. A datagram that cannot be sent now is dropped:
+    /// repeats make up for that. Returns where it went, with the connection that was used.
+    pub fn send(&mut self, peer: Peer, branch: &str, bytes: Bytes) -> Peer {
+        let (address, conn) = match peer {
+            Peer::Udp(address) => {
+                let _ = self.udp.try_send_to(&bytes, address);
+                return peer;
+            }
+            Peer::Tcp(address, conn) => (address, conn),
+        };
+        let usable = |id: &ConnId| self.conns.get(id).is_some_and(|c| c.outbox.is_open());
+        let mut same =
+            self.conns.iter().rev().filter(|(id, c)| c.address == address && usable(id)).map(|(id, _)| *id);
+        let id = conn.filter(usable).or_else(|| same.next()).unwrap_or_else(|| self.dial(address));
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.held.push((branch.to_string(), bytes));
+        }
+        self.flush(id);
+        Peer::Tcp(address, Some(id))
+    }
+
+    fn dial(&mut self, address: SocketAddr) -> ConnId {
+        let id = self.add(address, false);
+        self.dials.push(id);
+        id
+    }
+
+    fn add(&mut self, address: SocketAddr, up: bool) -> ConnId {
+        self.next += 1;
+        let conn = Conn { address, outbox: Rc::new(Outbox::default()), up, held: Vec::new() };
+        self.conns.insert(self.next, conn);
+        self.next
+    }
+
+    fn flush(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|c| c.up && c.outbox.is_empty()) else { return };
+        for (_, bytes) in conn.held.drain(..) {
+            conn.outbox.push(&bytes);
+        }
+    }
+
+    /// Takes back what was not written yet; false if there is no such thing.
+    pub fn withdraw(&mut self, branch: &str) -> bool {
+        let mut found = false;
+        for conn in self.conns.values_mut() {
+            let before = conn.held.len();
+            conn.held.retain(|(b, _)| b != branch);
+            found |= conn.held.len() < before;
+        }
+        found
+    }
+}
+
+/// Reads datagrams for ever.
+pub(super) async fn read_datagrams(front: Shared, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((size, from)) => match message::read_datagram(&buffer[..size]) {
+                Some(Ok(message)) => front.borrow_mut().received(Peer::Udp(from), message),
+                Some(Err(message)) => front.borrow_mut().malformed(Peer::Udp(from), message),
+                None => {}
+            },
+            // An ICMP error of an earlier datagram; timers find out what it means.
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+/// Takes TCP connections for ever.
+pub(super) async fn accept(front: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                if front.borrow().transport.conns.len() < CONNECTIONS_MOST {
+                    let id = front.borrow_mut().transport.add(from, true);
+                    tokio::task::spawn_local(run(front.clone(), id, stream));
+                }
+            }
+            Err(e) => {
+                clock::log(&format!("sip: accept: {e}"));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn run(front: Shared, id: ConnId, stream: TcpStream) {
+    let Some((outbox, address)) =
+        front.borrow().transport.conns.get(&id).map(|c| (c.outbox.clone(), c.address))
+    else {
+        return;
+    };
+    let on_bytes = |buffer: &mut BytesMut| loop {
+        match message::next(buffer) {
+            Next::Message(message) => front.borrow_mut().received(Peer::Tcp(address, Some(id)), message),
+            Next::More => return true,
+            Next::Broken => return false,
+        }
+    };
+    let on_drained = || front.borrow_mut().transport.flush(id);
+    let _ = link::run(stream, outbox, on_bytes, on_drained).await;
+    front.borrow_mut().conn_ended(id, true);
+}
+
+async fn dial(front: Rc<RefCell<Front>>, id: ConnId, address: SocketAddr, limit: Duration) {
+    match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            {
+                let transport = &mut front.borrow_mut().transport;
+                if let Some(conn) = transport.conns.get_mut(&id) {
+                    conn.up = true;
+                }
+                transport.flush(id);
+            }
+            run(front, id, stream).await;
+        }
+        Ok(Err(_)) | Err(_) => front.borrow_mut().conn_ended(id, false),
+    }
+}
+
+impl Front {
+    /// Starts the dials that sending has asked for.
+    pub(super) fn start_dials(&mut self) {
+        for id in std::mem::take(&mut self.transport.dials) {
+            let Some(conn) = self.transport.conns.get(&id) else { continue };
+            let (address, limit) = (conn.address, self.transport.dial_timeout);
+            tokio::task::spawn_local(dial(self.shared(), id, address, limit));
+        }
+    }
+
+    /// A connection is over; `came_up` is false if it never was one.
+    fn conn_ended(&mut self, id: ConnId, came_up: bool) {
+        let Some(conn) = self.transport.conns.remove(&id) else { return };
+        let unsent = conn.held.into_iter().map(|(branch, _)| branch).collect();
+        self.conn_lost(id, came_up, unsent);
+    }
+}
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,351 @@
+//! The one helper of the stories over sockets: starts the real program, and plays its resolver, its setup servers
+//! and its callers on loopback. Everything is scripted by the story; nothing here decides.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hickory_proto::op::Message;
+use hickory_proto::rr::rdata::{A, PTR, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+use serde_json::{Value, json};
+
+/// No step of a story takes longer, on however busy a machine.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The settings that the fronts are started with.
+pub fn settings() -> Value {
+    json!({
+        "peers-total": 1, "me": 0, "tick-us": 5000, "discovery": "pushed", "unheard-of": {"a": [1]},
+        "services": [{"name": "check-setup", "aim-us": 2000000, "hard-limit-us": 9000000, "worth": 1.0,
+                      "late-worth": 0.25, "effect": "read_like"}],
+        "ceilings": {"cancel": true, "probes": false, "max-attempts": 4, "retry-after": true,
+                     "max-retry-after-us": 2000000, "dial-timeout-us": 500000},
+        "rules": {"answer-slack-us": 20000, "drain-grace-us": 250000, "fall-us": 1000000,
+                  "start-capacity": 0.29, "tip-multiple": 2.0, "warm-up-us": 15000000},
+        "domain": {"clear-wait-us": 500000, "resend-us": 0}
+    })
+}
+
+/// A file of this test's own that is gone with it.
+pub struct Scratch(pub PathBuf);
+
+impl Scratch {
+    pub fn new(text: &str) -> Scratch {
+        static NEXT: Mutex<u32> = Mutex::new(0);
+        let mut next = NEXT.lock().unwrap();
+        *next += 1;
+        let name = format!("cobaltspool-test-{}-{next}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Scratch(path)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// The real program.
+pub struct Program {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    _config: Scratch,
+}
+
+impl Program {
+    fn start(flag: &str, config: &Value) -> Program {
+        let config = Scratch::new(&config.to_string());
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cobaltspool"))
+            .args(["serve", flag])
+            .arg(&config.0)
+            .env_remove("LB_CONFIG")
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let log = BufReader::new(child.stderr.take().unwrap());
+        Program { child, log, _config: config }
+    }
+
+    /// The addresses in the line that says what the program serves.
+    fn served(&mut self) -> Vec<SocketAddr> {
+        let mut line = String::new();
+        while !line.contains(" serves ") {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended before it served");
+        }
+        line.split_whitespace().filter_map(|word| word.parse().ok()).collect()
+    }
+
+    /// A gatekeeper on the platform's protocol, with these servers known from the start.
+    pub fn platform(resolver: &Resolver, settings: Value) -> (Program, SocketAddr) {
+        let (seq, list) = resolver.known();
+        let config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": resolver.address.to_string(),
+            "known": {"seq": seq, "results": [
+                {"seq": seq, "fleet": {"generation": 1, "reset": false, "instances": list}}]},
+            "settings": settings
+        });
+        let mut program = Program::start("--config", &config);
+        let address = program.served()[0];
+        (program, address)
+    }
+
+    /// A gatekeeper on SIP: its UDP and TCP addresses.
+    pub fn sip(resolver: &Resolver, service: &str, wait_ms: u64) -> (Program, SocketAddr, SocketAddr) {
+        let config = json!({
+            "name": "s1", "udp": "127.0.0.1:0", "tcp": "127.0.0.1:0", "dns": resolver.address.to_string(),
+            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings()
+        });
+        let mut program = Program::start("--sip", &config);
+        let addresses = program.served();
+        (program, addresses[0], addresses[1])
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(done.success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        eventually("the program ends", || self.child.try_wait().unwrap())
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// What it logged until its end.
+    pub fn rest_of_log(&mut self) -> String {
+        let mut log = String::new();
+        let _ = self.log.read_to_string(&mut log);
+        log
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Asks again until there is something; fails the test when patience is over.
+pub fn eventually<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = ask() {
+            return found;
+        }
+        assert!(Instant::now() < until, "in vain: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// One server in the resolver's list.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub id: &'static str,
+    pub address: SocketAddr,
+    pub cell: u32,
+    pub draining: bool,
+}
+
+pub fn line(id: &'static str, address: SocketAddr, cell: u32) -> Line {
+    Line { id, address, cell, draining: false }
+}
+
+struct State {
+    serial: u32,
+    list: Vec<Line>,
+    /// When an answer with this serial was first sent.
+    told: Vec<(u32, Instant)>,
+    /// Questions that get no answer first.
+    lose: u32,
+}
+
+/// The resolver.
+pub struct Resolver {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Resolver {
+    pub fn new(list: Vec<Line>) -> Resolver {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let address = socket.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State { serial: 1, list, told: Vec::new(), lose: 0 }));
+        let shared = state.clone();
+        thread::spawn(move || {
+            let mut buffer = [0; 512];
+            while let Ok((size, from)) = socket.recv_from(&mut buffer) {
+                let mut state = shared.lock().unwrap();
+                if state.lose > 0 {
+                    state.lose -= 1;
+                    continue;
+                }
+                let Ok(question) = Message::from_vec(&buffer[..size]) else { continue };
+                let answer = state.answer(&question).to_vec().unwrap();
+                let serial = state.serial;
+                if state.told.last().is_none_or(|(s, _)| *s != serial) {
+                    state.told.push((serial, Instant::now()));
+                }
+                let _ = socket.send_to(&answer, from);
+            }
+        });
+        Resolver { address, state }
+    }
+
+    fn known(&self) -> (u32, Vec<Value>) {
+        let state = self.state.lock().unwrap();
+        let entry = |l: &Line| {
+            json!({"instanceId": l.id, "hostPort": l.address.to_string(), "zone": "east", "machineType": "std",
+                   "cell": l.cell, "lifecycle": if l.draining { "terminating" } else { "in_service" },
+                   "weight": 1, "startedAtMs": 0})
+        };
+        (state.serial, state.list.iter().map(entry).collect())
+    }
+
+    /// Changes the list, and loses the next `lose` questions.
+    pub fn change(&self, lose: u32, change: impl FnOnce(&mut Vec<Line>)) -> u32 {
+        let mut state = self.state.lock().unwrap();
+        change(&mut state.list);
+        state.serial += 1;
+        state.lose = lose;
+        state.serial
+    }
+
+    /// Waits until a question has come that was asked after this call began.
+    pub fn asked_anew(&self) {
+        for _ in 0..2 {
+            let serial = self.change(0, |_| {});
+            self.told(serial);
+        }
+    }
+
+    /// When the list of this serial was first told.
+    pub fn told(&self, serial: u32) -> Instant {
+        eventually("the list is asked for", || {
+            let state = self.state.lock().unwrap();
+            state.told.iter().find(|(s, _)| *s == serial).map(|(_, at)| *at)
+        })
+    }
+}
+
+impl State {
+    fn answer(&self, question: &Message) -> Message {
+        let mut answer = question.clone().into_response();
+        let asked = &question.queries[0];
+        let name = |text: &str| Name::from_str(text).unwrap();
+        let service = asked.name().clone();
+        for l in &self.list {
+            let host = name(&format!("{}.east.hosts.", l.id));
+            let std::net::IpAddr::V4(ip) = l.address.ip() else { continue };
+            let srv = SRV::new(u16::from(l.draining), 10, l.address.port(), host.clone());
+            let txt = TXT::new(vec!["kind=std".into(), format!("cell={}", l.cell), "started=0".into()]);
+            match asked.query_type() {
+                RecordType::SRV => {
+                    answer.add_answer(Record::from_rdata(service.clone(), 0, RData::SRV(srv)));
+                }
+                RecordType::PTR => {
+                    let instance = name(&format!("{}.{service}", l.id));
+                    let ptr = RData::PTR(PTR(instance.clone()));
+                    answer.add_answer(Record::from_rdata(service.clone(), 0, ptr));
+                    answer.add_additional(Record::from_rdata(instance, 0, RData::SRV(srv)));
+                }
+                _ => {}
+            }
+            answer.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A(ip))));
+            answer.add_additional(Record::from_rdata(host, 0, RData::TXT(txt)));
+        }
+        let soa = SOA::new(name("pool.lan."), name("pool.lan."), self.serial, 1, 1, 1, 1);
+        answer.add_authority(Record::from_rdata(service, 0, RData::SOA(soa)));
+        answer
+    }
+}
+
+/// A connection that speaks JSON lines, of a caller or of a setup server.
+pub struct Lines {
+    stream: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Lines {
+    pub fn connect(to: SocketAddr) -> Lines {
+        Lines::on(TcpStream::connect(to).unwrap())
+    }
+
+    pub fn accept(listener: &TcpListener) -> Lines {
+        Lines::on(listener.accept().unwrap().0)
+    }
+
+    fn on(stream: TcpStream) -> Lines {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Lines { input: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    pub fn say(&mut self, message: Value) {
+        self.raw(format!("{message}\n").as_bytes());
+    }
+
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// The next line as it came; empty once the connection has ended.
+    pub fn text(&mut self) -> String {
+        let mut line = String::new();
+        let _ = self.input.read_line(&mut line);
+        line
+    }
+
+    pub fn hear(&mut self) -> Value {
+        let line = self.text();
+        serde_json::from_str(&line).unwrap_or_else(|_| panic!("a message, not {line:?}"))
+    }
+
+    /// The next message, which must be of this type.
+    pub fn expect(&mut self, verb: &str) -> Value {
+        let message = self.hear();
+        assert_eq!(message["verb"], verb, "{message}");
+        message
+    }
+
+    /// Proves that nothing else has been sent here: a test's answer is the next thing to come.
+    pub fn nothing_but_an_echo(&mut self) {
+        self.say(json!({"verb": "ECHO", "tag": "00000000000000ee", "opts": {}, "rc": 0}));
+        self.expect("ECHOED");
+    }
+
+    pub fn start(&mut self, tag: &str, left: u64, dest: u32) {
+        self.say(json!({"verb": "START", "tag": tag, "blob": "v=0\r\n",
+            "opts": {"class": "check-setup", "left": left.to_string(), "key": "7f3a9c21e0b4d655",
+                     "extras": format!("dest:{dest};width:1;via:-1")}}));
+    }
+
+    pub fn started(&mut self, tag: &Value) {
+        self.say(json!({"verb": "STARTED", "tag": tag, "opts": {}, "blob": "answer"}));
+    }
+
+    pub fn finish(&mut self, tag: &Value, cause: i64, opts: Value) {
+        self.say(json!({"verb": "FINISH", "tag": tag, "opts": opts, "rc": cause}));
+    }
+}
+
+/// A listener and its address.
+pub fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,353 @@
+//! Stories on the platform's protocol: the real program between scripted callers, setup servers and a resolver.
+
+mod peers;
+
+use std::time::{Duration, Instant};
+
+use peers::*;
+use rstest::rstest;
+use serde_json::json;
+
+const TAG: &str = "9b1f03aa5c7e2d41";
+
+#[test]
+fn a_call_stands_and_is_released_towards_its_caller() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 2)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    let odd = r#""v=0\r\né \u00e9 \ud83d\ude00\r\n""#;
+    caller.raw(
+        format!(
+            "{{\"verb\":\"START\",\"tag\":\"{TAG}\",\"opts\":{{\"class\":\"check-setup\",\"left\":1500,\
+             \"key\":\"7f3a9c21e0b4d655\",\"extras\":\"dest:2;width:1;via:-1\"}},\"blob\":{odd}}}\n"
+        )
+        .as_bytes(),
+    );
+    let text = far.text();
+    assert!(text.contains(odd), "the description passes on to the letter: {text}");
+    let start: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!((&start["verb"], &start["tag"]), (&json!("START"), &json!(TAG)));
+    assert_eq!(start["opts"]["class"], "check-setup");
+    assert_eq!(start["opts"]["key"], "7f3a9c21e0b4d655");
+    let left: u64 = start["opts"]["left"].as_str().unwrap().parse().unwrap();
+    assert!((1000..=1500).contains(&left), "{left}");
+    far.say(json!({"verb": "PENDING", "tag": TAG, "opts": {}}));
+    far.started(&start["tag"]);
+    assert_eq!(caller.expect("STARTED")["blob"], "answer");
+    far.finish(&start["tag"], 16, json!({"load": "x0:12;x1:40;queue:3"}));
+    let over = caller.expect("FINISH");
+    assert_eq!((&over["tag"], &over["rc"]), (&json!(TAG), &json!(16)));
+    far.expect("FINISHED");
+    caller.nothing_but_an_echo();
+}
+
+/// No connection owns a call that stands: the caller's release comes on another one.
+#[test]
+fn a_caller_ends_its_call_on_another_connection() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let (mut first, mut second) = (Lines::connect(gate), Lines::connect(gate));
+    first.start(TAG, 3000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    first.expect("STARTED");
+    drop(first);
+    second.finish(&json!(TAG), 16, json!({}));
+    second.expect("FINISHED");
+    assert_eq!(far.expect("FINISH")["rc"], 16);
+}
+
+/// The release goes to the caller on whatever connection there is, if need be the next one.
+#[test]
+fn a_release_waits_for_the_callers_next_connection() {
+    let (server, at) = listen();
+    let resolver = Resolver::new(vec![line("s-1", at, 0)]);
+    let (_program, gate) = Program::platform(&resolver, settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 3000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+    drop(caller);
+    resolver.asked_anew(); // by then the program has seen the connection's end
+    far.finish(&start["tag"], 16, json!({}));
+    far.expect("FINISHED");
+    let mut next = Lines::connect(gate);
+    let over = next.expect("FINISH");
+    assert_eq!((&over["tag"], &over["rc"]), (&json!(TAG), &json!(16)));
+}
+
+/// A refused connection proves that nothing ran there: the call goes on to another server.
+#[test]
+fn a_server_that_refuses_connections_costs_no_call() {
+    let (server, at) = listen();
+    let (closed, nowhere) = listen();
+    drop(closed);
+    let list = vec![line("s-1", nowhere, 0), line("s-2", at, 1)];
+    let (_program, gate) = Program::platform(&Resolver::new(list), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 3000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+}
+
+/// A call that is given up on is answered at once, with the time to stay away; it is not held to its deadline.
+#[test]
+fn a_refusal_comes_at_once_and_says_when_to_come_back() {
+    let (server, at) = listen();
+    let mut set = settings();
+    set["ceilings"]["max-attempts"] = json!(1);
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), set);
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    let asked = Instant::now();
+    caller.start(TAG, 60_000, 0);
+    let start = far.expect("START");
+    far.finish(&start["tag"], 34, json!({"note": "queue_long", "load": "latency_ms:2100"}));
+    let refused = caller.expect("FINISH");
+    assert_eq!((&refused["rc"], &refused["opts"]["wait"]), (&json!(34), &json!("2000")));
+    assert!(asked.elapsed() < Duration::from_secs(10));
+    caller.nothing_but_an_echo();
+}
+
+/// The caller's time runs out: one failure for it, and the set-up is given up at the server. What the server
+/// still says is released there and reaches nobody.
+#[test]
+fn a_late_answer_is_released_and_never_relayed() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 1500, 0);
+    let start = far.expect("START");
+    assert_eq!(far.expect("FINISH")["rc"], 16);
+    assert_eq!(caller.expect("FINISH")["rc"], 41);
+    far.started(&start["tag"]);
+    assert_eq!(far.expect("FINISH")["rc"], 16);
+    caller.nothing_but_an_echo();
+}
+
+/// A caller that gives up, or whose connection ends, is owed nothing; the server hears of it.
+#[rstest]
+#[case::says_so(true)]
+#[case::disconnects(false)]
+fn a_set_up_given_up_by_its_caller_is_given_up_at_the_server(#[case] says: bool) {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 60_000, 0);
+    far.expect("START");
+    if says {
+        caller.finish(&json!(TAG), 16, json!({}));
+        caller.expect("FINISHED");
+        caller.nothing_but_an_echo();
+    } else {
+        drop(caller);
+    }
+    assert_eq!(far.expect("FINISH")["rc"], 16);
+}
+
+/// A set-up that was cut is not sent again before the release wait is over.
+#[test]
+fn a_cut_set_up_goes_out_again_after_the_release_wait() {
+    let (server, at) = listen();
+    let (other, beside) = listen();
+    let list = vec![line("s-1", at, 0), line("s-2", beside, 1)];
+    let (_program, gate) = Program::platform(&Resolver::new(list), settings());
+    let mut far = Lines::accept(&server);
+    let mut next = Lines::accept(&other);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 10_000, 0);
+    let start = far.expect("START");
+    let cut = Instant::now();
+    far.finish(&start["tag"], 41, json!({}));
+    let again = next.expect("START");
+    assert!(cut.elapsed() >= Duration::from_millis(500), "{:?}", cut.elapsed());
+    assert_eq!(again["tag"], start["tag"]);
+    next.started(&again["tag"]);
+    caller.expect("STARTED");
+}
+
+/// A process that has ended has cut its calls: connections reset, new ones refused.
+#[test]
+fn a_dead_servers_calls_are_released_towards_their_callers() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 3000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+    drop(server);
+    drop(far);
+    assert_eq!(caller.expect("FINISH")["rc"], 41);
+}
+
+/// After the news that a server drains, and once the window has passed, calls go elsewhere; the resolver's
+/// answers may get lost on the way.
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let (server, at) = listen();
+    let (other, beside) = listen();
+    let resolver = Resolver::new(vec![line("s-1", at, 0), line("s-2", beside, 1)]);
+    let (_program, gate) = Program::platform(&resolver, settings());
+    let mut far = Lines::accept(&server);
+    let mut next = Lines::accept(&other);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 9000, 0);
+    let start = far.expect("START");
+    let serial = resolver.change(2, |list| list[0].draining = true);
+    let told = resolver.told(serial);
+    eventually("the window to close", || (told.elapsed() > Duration::from_millis(250)).then_some(()));
+    caller.start("00000000000000a1", 9000, 0);
+    let moved = next.expect("START");
+    assert_eq!(moved["tag"], "00000000000000a1");
+    next.started(&moved["tag"]);
+    caller.expect("STARTED");
+    far.started(&start["tag"]);
+    assert_eq!(caller.expect("STARTED")["tag"], TAG, "what was out before the drain may stand");
+    far.finish(&start["tag"], 16, json!({}));
+    assert_eq!(far.expect("FINISHED")["tag"], TAG, "and it got no other set-up in between");
+}
+
+/// A replacement may take a gone server's address: it is another server, on another connection.
+#[test]
+fn an_address_that_changes_hands_is_another_server() {
+    let (server, at) = listen();
+    let resolver = Resolver::new(vec![line("s-1", at, 0)]);
+    let (_program, gate) = Program::platform(&resolver, settings());
+    let mut old = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 9000, 0);
+    let start = old.expect("START");
+    old.started(&start["tag"]);
+    caller.expect("STARTED");
+    resolver.change(0, |list| *list = vec![line("s-9", at, 0)]);
+    assert_eq!(caller.expect("FINISH")["rc"], 41, "what stood at the gone server is cut");
+    let mut new = Lines::accept(&server);
+    caller.start("00000000000000a2", 9000, 0);
+    assert_eq!(new.expect("START")["tag"], "00000000000000a2");
+}
+
+#[rstest]
+#[case::no_left(r#""opts":{"class":"check-setup","key":"01"},"blob":"d""#)]
+#[case::left_is_no_number(r#""opts":{"class":"check-setup","key":"01","left":"soon"},"blob":"d""#)]
+#[case::left_is_negative(r#""opts":{"class":"check-setup","key":"01","left":"-5"},"blob":"d""#)]
+#[case::unknown_class(r#""opts":{"class":"fax","key":"01","left":"900"},"blob":"d""#)]
+#[case::no_description(r#""opts":{"class":"check-setup","key":"01","left":"900"}"#)]
+#[case::description_is_no_text(r#""opts":{"class":"check-setup","key":"01","left":"900"},"blob":7"#)]
+#[case::fields_are_no_object(r#""opts":[],"blob":"d""#)]
+#[case::odd_first_choice(
+    r#""opts":{"class":"check-setup","key":"01","left":"9","extras":"dest:x"},"blob":"d""#
+)]
+fn a_bad_field_gets_one_failing_finish(#[case] fields: &str) {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let _far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.raw(format!("{{\"verb\":\"START\",\"tag\":\"{TAG}\",{fields}}}\n").as_bytes());
+    let failed = caller.expect("FINISH");
+    assert_eq!((&failed["tag"], &failed["rc"]), (&json!(TAG), &json!(100)));
+    caller.nothing_but_an_echo();
+}
+
+#[rstest]
+#[case::no_json(b"nonsense\n".to_vec())]
+#[case::no_object(b"[1,2]\n".to_vec())]
+#[case::not_utf8(b"{\"verb\":\"\xff\"}\n".to_vec())]
+#[case::deeply_nested([vec![b'['; 16_000], b"\n".to_vec()].concat())]
+#[case::set_up_without_id(b"{\"verb\":\"START\",\"opts\":{}}\n".to_vec())]
+#[case::overlong([vec![b' '; 17_000], b"\n".to_vec()].concat())]
+#[case::overlong_without_end(vec![b'x'; 17_000])]
+fn an_unreadable_line_closes_its_connection_only(#[case] line_sent: Vec<u8>) {
+    let (server, at) = listen();
+    let (mut program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let _far = Lines::accept(&server);
+    let (mut bad, mut good) = (Lines::connect(gate), Lines::connect(gate));
+    bad.raw(&line_sent);
+    assert_eq!(bad.text(), "");
+    good.nothing_but_an_echo();
+    assert!(program.runs());
+}
+
+#[test]
+fn unknown_types_and_ids_are_ignored() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.say(json!({"verb": "NOTICE", "tag": 5, "more": {"a": []}}));
+    caller.finish(&json!("00000000000000ff"), 16, json!({}));
+    far.say(json!({"verb": "RATE"}));
+    far.finish(&json!("00000000000000ff"), 16, json!({}));
+    caller.nothing_but_an_echo();
+    caller.start(TAG, 3000, 0);
+    assert_eq!(far.expect("START")["tag"], TAG);
+}
+
+/// A line may come in pieces, and several in one.
+#[test]
+fn lines_are_put_together_and_taken_apart() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let _far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    let echo = |tag: &str| format!("{{\"verb\":\"ECHO\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":0}}\r\n");
+    let (first, second) = (echo("0000000000000001"), echo("0000000000000002"));
+    caller.raw(&first.as_bytes()[..20]);
+    caller.raw(format!("{}\n{second}", &first[20..]).as_bytes());
+    let answers = [caller.expect("ECHOED"), caller.expect("ECHOED")];
+    assert_eq!(
+        answers.map(|a| (a["tag"].clone(), a["rc"].clone())).map(|(t, r)| format!("{t}{r}")),
+        ["\"0000000000000001\"1", "\"0000000000000002\"1"]
+    );
+}
+
+/// A caller that does not read must not hold up the others, and is cut off in the end.
+#[test]
+fn a_peer_that_does_not_read_holds_nobody_up() {
+    let (server, at) = listen();
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let _far = Lines::accept(&server);
+    let (deaf, mut good) = (std::net::TcpStream::connect(gate).unwrap(), Lines::connect(gate));
+    deaf.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+    let echo = b"{\"verb\":\"ECHO\",\"tag\":\"0000000000000001\",\"opts\":{},\"rc\":0}\n".repeat(1000);
+    eventually("the deaf caller is cut off", || {
+        std::io::Write::write_all(&mut &deaf, &echo).is_err().then_some(())
+    });
+    good.nothing_but_an_echo();
+}
+
+/// SIGTERM: what comes in is still answered, what stands may end, then the program ends well.
+#[test]
+fn a_planned_stop_answers_everything_first() {
+    let (server, at) = listen();
+    let (mut program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 5000, 0);
+    let before = far.expect("START");
+    program.terminate();
+    let mut late = Lines::connect(gate);
+    late.start("00000000000000a3", 5000, 0);
+    let after = far.expect("START");
+    far.started(&before["tag"]);
+    far.finish(&after["tag"], 17, json!({}));
+    let again = far.expect("START");
+    far.started(&again["tag"]);
+    assert_eq!(caller.expect("STARTED")["tag"], TAG);
+    assert_eq!(late.expect("STARTED")["tag"], "00000000000000a3");
+    far.finish(&before["tag"], 16, json!({}));
+    assert_eq!(caller.expect("FINISH")["rc"], 16);
+    late.finish(&json!("00000000000000a3"), 16, json!({}));
+    late.expect("FINISHED");
+    assert!(program.ended().success());
+    assert!(!program.rest_of_log().contains("guard"));
+}
