--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,8 @@
 //! and its callers on loopback. Everything is scripted by the story; nothing here decides.
 #![allow(dead_code)]
 
+pub mod sip;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
