Count the drain window from the list's question; fetch what a lean resolver left out

The answer that tells of a drain is sent after its question, so counting from the question can only be early: on a busy machine the gatekeeper may see the answer late. SIP repeats now end 100 ms before the window does. A resolver that sends no TXT or A records along is asked for them; before, such servers had pool 0 or were missing. The stories that turned calls down waited 300 ms for a further attempt and could miss a late one; they now watch both sides until the caller has its final answer.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -88,6 +88,8 @@
     },
     /// News of the server list.
     List {
+        /// From when on it may count as told; the drain window begins here.
+        told: Micros,
         /// What the list holds.
         scope: ListScope,
         /// Its lines.
@@ -220,8 +222,8 @@
             Input::Load { server, answered, load } => {
                 self.news.push_back(Event::Load { server, answered, load });
             }
-            Input::List { scope, entries } => {
-                self.route.learn(self.now, scope, &entries);
+            Input::List { told, scope, entries } => {
+                self.route.learn(told.min(self.now), scope, &entries);
                 self.news.push_back(Event::List { scope, entries });
             }
             Input::Lost { server, at } => self.lost(server, at, out),
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -36,7 +36,8 @@
             started_at: 0,
             status: *status,
         };
-        self.see(Input::List { scope, entries: lines.iter().map(line).collect() })
+        let told = self.now;
+        self.see(Input::List { told, scope, entries: lines.iter().map(line).collect() })
     }
 
     fn end(&mut self, outcome: Outcome) -> Vec<Command> {
--- a/src/list/dns.rs
+++ b/src/list/dns.rs
@@ -80,6 +80,12 @@
         self.srv.iter().map(|s| &s.host).filter(|h| !self.hosts.contains_key(h)).cloned().collect()
     }
 
+    /// Hosts whose servers no TXT record describes yet.
+    pub fn undescribed(&self) -> Vec<Name> {
+        let told = |s: &&Service| self.texts.contains_key(&s.host) || self.texts.contains_key(&s.name);
+        self.srv.iter().filter(|s| !told(s)).map(|s| s.host.clone()).collect()
+    }
+
     /// Whether SRV records of this name have come.
     pub fn has_service(&self, name: &Name) -> bool {
         self.srv.iter().any(|s| s.name == *name)
--- a/src/list/resolver.rs
+++ b/src/list/resolver.rs
@@ -7,6 +7,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::Micros;
+use crate::clock;
+
 use super::Listed;
 use super::dns::{Records, question};
 
@@ -27,22 +30,24 @@
     DnsSd(String),
 }
 
-/// Asks `server` for `service` for ever, and gives `on_list` every list that differs from the one before.
+/// Asks `server` for `service` for ever, and gives `on_list` every list that differs from the one before, with
+/// the time at which it was asked for: a drain may count as told from any moment after that.
 /// `seq` is the number of the list that is known already, where lists are numbered.
 pub async fn follow(
     server: SocketAddr,
     service: Service,
     mut seq: Option<u32>,
-    mut on_list: impl FnMut(Option<u32>, Vec<Listed>),
+    mut on_list: impl FnMut(Micros, Vec<Listed>),
 ) {
     let mut last: Option<Vec<Listed>> = None;
     loop {
         let next = Instant::now() + PERIOD;
+        let asked = clock::now();
         if let Some((serial, list)) = ask(server, &service).await {
             let new = if serial.is_some() { serial != seq } else { last.as_ref() != Some(&list) };
             if new {
                 (seq, last) = (serial, Some(list.clone()));
-                on_list(serial, list);
+                on_list(asked, list);
             }
         }
         sleep_until(next).await;
@@ -60,7 +65,6 @@
         Service::Srv(name) => exchange(&socket, name, RecordType::SRV, &mut records).await?,
         Service::DnsSd(name) => {
             exchange(&socket, name, RecordType::PTR, &mut records).await?;
-            // A helpful resolver sends the rest along; what it left out is asked for.
             for instance in records.instances.clone() {
                 if !records.has_service(&instance) {
                     exchange(&socket, &instance.to_ascii(), RecordType::SRV, &mut records).await?;
@@ -69,6 +73,10 @@
             }
         }
     }
+    // A helpful resolver sends the rest along; what it left out is asked for.
+    for host in records.undescribed() {
+        exchange(&socket, &host.to_ascii(), RecordType::TXT, &mut records).await?;
+    }
     for host in records.homeless() {
         exchange(&socket, &host.to_ascii(), RecordType::A, &mut records).await?;
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -45,7 +45,7 @@
     log(&format!("{} serves on {address}", config.name));
     let front = Front::start(&config);
     for (scope, list) in config.known.clone() {
-        front.borrow_mut().take_list(scope, list);
+        front.borrow_mut().take_list(clock::now(), scope, list);
     }
     let tasks = async {
         tokio::join!(
@@ -59,8 +59,8 @@
 
 async fn follow_list(front: Shared, config: &Config) {
     let service = resolver::Service::Srv("_back._tcp.pool.lan.".to_string());
-    resolver::follow(config.dns, service, Some(config.seq), |_, list| {
-        front.borrow_mut().take_list(ListScope::Whole, list);
+    resolver::follow(config.dns, service, Some(config.seq), |asked, list| {
+        front.borrow_mut().take_list(asked, ListScope::Whole, list);
     })
     .await;
 }
@@ -88,10 +88,10 @@
         self.next_link
     }
 
-    fn take_list(&mut self, scope: ListScope, list: Vec<Listed>) {
+    fn take_list(&mut self, told: Micros, scope: ListScope, list: Vec<Listed>) {
         let now = clock::now();
         let (entries, changes) = self.directory.learn(scope, list);
-        self.feed(Input::List { scope, entries });
+        self.feed(Input::List { told, scope, entries });
         for server in &changes.closed {
             log(&format!("server {} takes nothing new", self.directory.name(*server)));
             self.withdraw_held(*server);
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -117,7 +117,7 @@
     let front = Front::start(&config, transport);
     let follow = async {
         let service = resolver::Service::DnsSd(config.service.clone());
-        let on_list = |_, list| front.borrow_mut().take_list(list);
+        let on_list = |asked, list| front.borrow_mut().take_list(asked, list);
         resolver::follow(config.dns, service, None, on_list).await;
     };
     let tasks = async {
@@ -170,14 +170,14 @@
         format!("{:016x}", z ^ (z >> 31))
     }
 
-    fn take_list(&mut self, list: Vec<Listed>) {
+    fn take_list(&mut self, told: Micros, list: Vec<Listed>) {
         let now = clock::now();
         let scope = ListScope::Whole;
         let (entries, changes) = self.directory.learn(scope, list);
-        self.feed(Input::List { scope, entries });
+        self.feed(Input::List { told, scope, entries });
         for server in &changes.closed {
             log(&format!("server {} takes nothing new", self.directory.name(*server)));
-            self.stop_repeats(*server, now);
+            self.stop_repeats(*server, told);
         }
         for (server, at) in &changes.restarted {
             self.lost(*server, *at);
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -15,8 +15,9 @@
 
 /// A probe that takes longer has failed.
 const PROBE_TIME: Micros = 250_000;
-/// Repeats end this long before the drain window does: what is sent must also have arrived.
-const WINDOW_MARGIN: Micros = 25_000;
+/// Repeats end this long before the drain window does: what is sent must also have arrived, and a busy machine
+/// may hold either side up.
+const WINDOW_MARGIN: Micros = 100_000;
 /// From the news that a server is gone until its calls count as cut: their BYEs may be on their way.
 pub(super) const LAST_RELEASES: Micros = 500_000;
 
--- /dev/null
+++ b/tests/list.rs
@@ -0,0 +1,82 @@
+//! The list of servers: the resolver's client against a stand-in, and who is who.
+
+mod peers;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use cobaltspool::list::resolver::{Service, follow};
+use cobaltspool::list::{Directory, Listed};
+use cobaltspool::{ListScope, PoolId, ServerId, Status};
+use peers::*;
+use rstest::rstest;
+
+fn listed(id: &str, port: u16, status: Status) -> Listed {
+    Listed { id: id.into(), address: ([127, 0, 0, 1], port).into(), pool: PoolId(2), started_at: 0, status }
+}
+
+/// Follows a service until the list satisfies, and returns it.
+async fn until(resolver: &Resolver, service: Service, enough: impl Fn(&[Listed]) -> bool) -> Vec<Listed> {
+    let last = Rc::new(RefCell::new(None));
+    let on_list = |_, list: Vec<Listed>| *last.borrow_mut() = Some(list).filter(|l| enough(l));
+    let found = async {
+        while last.borrow().is_none() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! {
+        () = follow(resolver.address, service, None, on_list) => {}
+        () = found => {}
+        () = tokio::time::sleep(PATIENCE) => panic!("no such list came"),
+    }
+    last.take().unwrap()
+}
+
+#[rstest]
+#[case::srv(Service::Srv("_back._tcp.pool.lan".into()), false)]
+#[case::dns_sd(Service::DnsSd("_sip._udp.pool.lan".into()), false)]
+#[case::srv_without_extras(Service::Srv("_back._tcp.pool.lan".into()), true)]
+#[case::dns_sd_without_extras(Service::DnsSd("_sip._udp.pool.lan".into()), true)]
+#[tokio::test(flavor = "current_thread")]
+async fn a_list_is_followed_through_loss(#[case] service: Service, #[case] lean: bool) {
+    let addresses = [5071, 5072].map(|port| ([127, 0, 0, 1], port).into());
+    let resolver = Resolver::new(vec![line("s-1", addresses[0], 2), line("s-2", addresses[1], 2)]);
+    let resolver = if lean { resolver.lean() } else { resolver };
+    let mut list = until(&resolver, service.clone(), |l| l.len() == 2).await;
+    list.sort_by_key(|l| l.address.port());
+    let up = |id, port| listed(id, port, Status::Up);
+    assert_eq!(list, [up("s-1", 5071), up("s-2", 5072)]);
+    resolver.change(2, |list| {
+        list[0].draining = true;
+        list.pop();
+    });
+    let list = until(&resolver, service, |l| l.len() == 1).await;
+    assert_eq!((&*list[0].id, list[0].status), ("s-1", Status::Draining));
+}
+
+#[test]
+fn servers_are_known_by_id_not_by_address() {
+    let mut directory = Directory::default();
+    let first = vec![listed("a", 1, Status::Up), listed("b", 2, Status::Up)];
+    let (entries, changes) = directory.learn(ListScope::Restored, first);
+    assert_eq!(entries.iter().map(|e| e.server).collect::<Vec<_>>(), [ServerId(0), ServerId(1)]);
+    assert!(changes.closed.is_empty() && changes.gone.is_empty());
+    let (entries, changes) = directory.learn(ListScope::Whole, vec![listed("c", 1, Status::Up)]);
+    assert_eq!(entries[0].server, ServerId(2), "a new machine at an old address");
+    assert_eq!(changes.gone, [ServerId(0), ServerId(1)], "missing from a whole list is gone");
+    assert_eq!((directory.address(ServerId(0)), directory.up(ServerId(2))), (None, true));
+}
+
+#[test]
+fn changes_leave_the_other_lines_alone() {
+    let mut directory = Directory::default();
+    directory.learn(ListScope::Whole, vec![listed("a", 1, Status::Up), listed("b", 2, Status::Up)]);
+    let (_, changes) = directory.learn(ListScope::Changes, vec![listed("a", 1, Status::Draining)]);
+    assert_eq!((changes.closed, changes.gone), (vec![ServerId(0)], vec![]));
+    let (_, changes) = directory.learn(ListScope::Changes, vec![listed("a", 1, Status::Removed)]);
+    assert_eq!(changes.gone, [ServerId(0)]);
+    let again = Listed { started_at: 9, ..listed("b", 2, Status::Up) };
+    let (_, changes) = directory.learn(ListScope::Changes, vec![again]);
+    assert_eq!(changes.restarted, [(ServerId(1), 9)], "the same machine, another process");
+    assert_eq!((directory.up(ServerId(1)), directory.name(ServerId(1))), (true, "b"));
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -174,6 +174,8 @@
     told: Vec<(u32, Instant)>,
     /// Questions that get no answer first.
     lose: u32,
+    /// Nothing is told beyond what was asked for.
+    lean: bool,
 }
 
 /// The resolver.
@@ -186,7 +188,7 @@
     pub fn new(list: Vec<Line>) -> Resolver {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         let address = socket.local_addr().unwrap();
-        let state = Arc::new(Mutex::new(State { serial: 1, list, told: Vec::new(), lose: 0 }));
+        let state = Arc::new(Mutex::new(State { serial: 1, list, told: Vec::new(), lose: 0, lean: false }));
         let shared = state.clone();
         thread::spawn(move || {
             let mut buffer = [0; 512];
@@ -235,6 +237,12 @@
         }
     }
 
+    /// From now on tells nothing beyond what was asked for.
+    pub fn lean(self) -> Resolver {
+        self.state.lock().unwrap().lean = true;
+        self
+    }
+
     /// When the list of this serial was first told.
     pub fn told(&self, serial: u32) -> Instant {
         eventually("the list is asked for", || {
@@ -255,20 +263,36 @@
             let std::net::IpAddr::V4(ip) = l.address.ip() else { continue };
             let srv = SRV::new(u16::from(l.draining), 10, l.address.port(), host.clone());
             let txt = TXT::new(vec!["kind=std".into(), format!("cell={}", l.cell), "started=0".into()]);
-            match asked.query_type() {
-                RecordType::SRV => {
-                    answer.add_answer(Record::from_rdata(service.clone(), 0, RData::SRV(srv)));
-                }
+            let a = (host.clone(), RData::A(A(ip)));
+            let described = |owner: &Name, text_at: &Name| {
+                vec![
+                    (owner.clone(), RData::SRV(srv.clone())),
+                    (text_at.clone(), RData::TXT(txt.clone())),
+                    a.clone(),
+                ]
+            };
+            // With DNS-SD the instance has the TXT record, without it the host.
+            let instance = name(&format!("{}.{}", l.id, service.trim_to(4)));
+            let records = match asked.query_type() {
                 RecordType::PTR => {
-                    let instance = name(&format!("{}.{service}", l.id));
                     let ptr = RData::PTR(PTR(instance.clone()));
-                    answer.add_answer(Record::from_rdata(service.clone(), 0, ptr));
-                    answer.add_additional(Record::from_rdata(instance, 0, RData::SRV(srv)));
+                    [vec![(service.clone(), ptr)], described(&instance, &instance)].concat()
+                }
+                RecordType::SRV if service == instance => described(&instance, &instance),
+                RecordType::SRV if service.num_labels() == 4 => described(&service, &host),
+                RecordType::TXT if service == instance => vec![(service.clone(), RData::TXT(txt))],
+                RecordType::TXT if service == host => vec![(service.clone(), RData::TXT(txt))],
+                RecordType::A if service == host => vec![a],
+                _ => vec![],
+            };
+            for (n, (owner, data)) in records.into_iter().enumerate() {
+                let record = Record::from_rdata(owner, 0, data);
+                match n {
+                    0 => drop(answer.add_answer(record)),
+                    _ if !self.lean => drop(answer.add_additional(record)),
+                    _ => {}
                 }
-                _ => {}
             }
-            answer.add_additional(Record::from_rdata(host.clone(), 0, RData::A(A(ip))));
-            answer.add_additional(Record::from_rdata(host, 0, RData::TXT(txt)));
         }
         let soa = SOA::new(name("pool.lan."), name("pool.lan."), self.serial, 1, 1, 1, 1);
         answer.add_authority(Record::from_rdata(service, 0, RData::SOA(soa)));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -10,6 +11,20 @@
 
 const TAG: &str = "9b1f03aa5c7e2d41";
 
+/// A gatekeeper with one server behind it.
+fn one_server() -> (TcpListener, Program, SocketAddr) {
+    let (server, at) = listen();
+    let (program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    (server, program, gate)
+}
+
+/// The same, with its connection to the server, and a caller.
+fn one_call() -> (TcpListener, Program, Lines, Lines) {
+    let (server, program, gate) = one_server();
+    let far = Lines::accept(&server);
+    (server, program, far, Lines::connect(gate))
+}
+
 #[test]
 fn a_call_stands_and_is_released_towards_its_caller() {
     let (server, at) = listen();
@@ -45,8 +60,7 @@
 /// No connection owns a call that stands: the caller's release comes on another one.
 #[test]
 fn a_caller_ends_its_call_on_another_connection() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let (server, _program, gate) = one_server();
     let mut far = Lines::accept(&server);
     let (mut first, mut second) = (Lines::connect(gate), Lines::connect(gate));
     first.start(TAG, 3000, 0);
@@ -119,10 +133,7 @@
 /// still says is released there and reaches nobody.
 #[test]
 fn a_late_answer_is_released_and_never_relayed() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
-    let mut far = Lines::accept(&server);
-    let mut caller = Lines::connect(gate);
+    let (_server, _program, mut far, mut caller) = one_call();
     caller.start(TAG, 1500, 0);
     let start = far.expect("START");
     assert_eq!(far.expect("FINISH")["rc"], 16);
@@ -137,10 +148,7 @@
 #[case::says_so(true)]
 #[case::disconnects(false)]
 fn a_set_up_given_up_by_its_caller_is_given_up_at_the_server(#[case] says: bool) {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
-    let mut far = Lines::accept(&server);
-    let mut caller = Lines::connect(gate);
+    let (_server, _program, mut far, mut caller) = one_call();
     caller.start(TAG, 60_000, 0);
     far.expect("START");
     if says {
@@ -177,10 +185,7 @@
 /// A process that has ended has cut its calls: connections reset, new ones refused.
 #[test]
 fn a_dead_servers_calls_are_released_towards_their_callers() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
-    let mut far = Lines::accept(&server);
-    let mut caller = Lines::connect(gate);
+    let (server, _program, mut far, mut caller) = one_call();
     caller.start(TAG, 3000, 0);
     let start = far.expect("START");
     far.started(&start["tag"]);
@@ -194,10 +199,7 @@
 /// server is told as soon as it can be.
 #[test]
 fn calls_at_a_server_out_of_reach_are_over_in_time() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
-    let mut far = Lines::accept(&server);
-    let mut caller = Lines::connect(gate);
+    let (server, _program, mut far, mut caller) = one_call();
     caller.start(TAG, 3000, 0);
     let start = far.expect("START");
     let last_heard = Instant::now();
@@ -273,8 +275,7 @@
     r#""opts":{"class":"check-setup","key":"01","left":"9","extras":"dest:x"},"blob":"d""#
 )]
 fn a_bad_field_gets_one_failing_finish(#[case] fields: &str) {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let (server, _program, gate) = one_server();
     let _far = Lines::accept(&server);
     let mut caller = Lines::connect(gate);
     caller.raw(format!("{{\"verb\":\"START\",\"tag\":\"{TAG}\",{fields}}}\n").as_bytes());
@@ -304,10 +305,7 @@
 
 #[test]
 fn unknown_types_and_ids_are_ignored() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
-    let mut far = Lines::accept(&server);
-    let mut caller = Lines::connect(gate);
+    let (_server, _program, mut far, mut caller) = one_call();
     caller.say(json!({"verb": "NOTICE", "tag": 5, "more": {"a": []}}));
     caller.finish(&json!("00000000000000ff"), 16, json!({}));
     far.say(json!({"verb": "RATE"}));
@@ -320,8 +318,7 @@
 /// A line may come in pieces, and several in one.
 #[test]
 fn lines_are_put_together_and_taken_apart() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let (server, _program, gate) = one_server();
     let _far = Lines::accept(&server);
     let mut caller = Lines::connect(gate);
     let echo = |tag: &str| format!("{{\"verb\":\"ECHO\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":0}}\r\n");
@@ -338,8 +335,7 @@
 /// A caller that does not read must not hold up the others, and is cut off in the end.
 #[test]
 fn a_peer_that_does_not_read_holds_nobody_up() {
-    let (server, at) = listen();
-    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), settings());
+    let (server, _program, gate) = one_server();
     let _far = Lines::accept(&server);
     let (deaf, mut good) = (std::net::TcpStream::connect(gate).unwrap(), Lines::connect(gate));
     deaf.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -116,21 +116,29 @@
 #[case::busy("486 Busy Here", "SIP/2.0 486")]
 #[case::declined("603 Decline", "SIP/2.0 603")]
 fn a_servers_failure_reaches_the_caller(#[case] says: &str, #[case] hears: &str) {
-    let (mut site, mut invite) = site(On::Udp, 9000, "c3");
-    let mut attempts = 0;
-    let got = loop {
-        site.server.answer(&invite, says, "far", "");
-        site.server.expect("ACK");
-        attempts += 1;
-        match (site.server.next(Duration::from_millis(300)), attempts) {
-            (Some(again), ..5) if again.is("INVITE") => invite = again,
-            _ => break site.caller.expect(hears),
-        }
-    };
-    site.caller.send(&ack_of(&site.caller, &got, "c3"));
+    let (mut site, invite) = site(On::Udp, 9000, "c3");
+    let (got, attempts) = turn_all_down(&mut site, invite, says);
+    assert!(got.is(hears), "{}", got.first());
+    let ack = ack_of(&site.caller, &got, "c3");
+    site.caller.send(&ack);
     assert!(attempts <= 4, "{attempts} attempts");
 }
 
+/// Turns every attempt down until the caller has its final answer; returns that and how many there were.
+fn turn_all_down(site: &mut Site, first: Got, status: &str) -> (Got, usize) {
+    let mut invite = Some(first);
+    let mut attempts = BTreeSet::new();
+    let last = eventually("the caller's final answer", || {
+        if let Some(invite) = invite.take() {
+            site.server.answer(&invite, status, "far", "");
+            attempts.insert(invite.get("Call-ID").to_string());
+        }
+        invite = site.server.next(Duration::from_millis(5)).filter(|g| g.is("INVITE"));
+        site.caller.next(Duration::from_millis(5)).filter(|g| !g.is("SIP/2.0 1"))
+    });
+    (last, attempts.len())
+}
+
 fn ack_of(caller: &Agent, refusal: &Got, call: &str) -> String {
     let request = caller.request("ACK", call, "", "");
     request.replace("To: <sip:5550100@central>", &format!("To: {}", refusal.get("To")))
@@ -139,16 +147,10 @@
 /// Refused: 503 with Retry-After, at once.
 #[test]
 fn a_full_server_means_503_and_retry_after() {
-    let (mut site, mut invite) = site(On::Udp, 60_000, "c4");
+    let (mut site, invite) = site(On::Udp, 60_000, "c4");
     let asked = Instant::now();
-    let refused = loop {
-        site.server.answer(&invite, "503 Service Unavailable", "far", "");
-        site.server.expect("ACK");
-        match site.server.next(Duration::from_millis(300)) {
-            Some(again) if again.is("INVITE") => invite = again,
-            _ => break site.caller.expect("SIP/2.0 503"),
-        }
-    };
+    let (refused, _) = turn_all_down(&mut site, invite, "503 Service Unavailable");
+    assert!(refused.is("SIP/2.0 503"), "{}", refused.first());
     assert_eq!(refused.get("Retry-After"), "2");
     assert!(asked.elapsed() < Duration::from_secs(20), "not held to the deadline");
 }
