--- a/src/config.rs
+++ b/src/config.rs
@@ -158,8 +158,8 @@
         dns: top.address("dns")?,
         service: service.to_string(),
         seed: u64::from_str_radix(top.text("seed")?, 16).map_err(|_| "'seed' is not hexadecimal")?,
-        t1: or(top.count("t1_ms")?, 500) * 1000,
-        wait: or(top.count("wait_ms")? * 1000, longest_wait),
+        t1: or(top.count("t1_ms")?, 500).min(60_000) * 1000,
+        wait: or(top.count("wait_ms")?.min(3_600_000) * 1000, longest_wait),
         settings: decode_settings(&settings)?,
         classes,
         dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
@@ -257,7 +257,7 @@
         id: line.text("instanceId")?.into(),
         address: if status == Status::Removed { address.unwrap_or(nowhere) } else { address? },
         pool: PoolId(line.number("cell")? as i64),
-        started_at: line.count("startedAtMs")? * 1000,
+        started_at: line.count("startedAtMs")?.saturating_mul(1000),
         status,
     })
 }
--- a/src/list/dns.rs
+++ b/src/list/dns.rs
@@ -107,7 +107,7 @@
                 id: id.into(),
                 address: SocketAddr::new(*ip, service.port),
                 pool: PoolId(figure("cell").unwrap_or(0)),
-                started_at: figure("started").unwrap_or(0).max(0) as u64 * 1000,
+                started_at: (figure("started").unwrap_or(0).max(0) as u64).saturating_mul(1000),
                 status: if service.draining { Status::Draining } else { Status::Up },
             });
         }
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -20,6 +20,8 @@
 
 /// How long a release waits for a connection to go out on; later it would not count any more.
 const OWED: Micros = 8_000_000;
+/// No caller waits longer, whatever it says: sums of times must stay far from their type's end.
+const LEFT_MOST_MS: f64 = 3_600_000.0;
 /// Most releases that wait so.
 const OWED_MOST: usize = 10_000;
 
@@ -178,7 +180,7 @@
         link.open.insert(call);
         self.calls.insert(call, caller);
         self.tags.insert(tag, call);
-        let left = (left * 1000.0) as Micros;
+        let left = (left.min(LEFT_MOST_MS) * 1000.0) as Micros;
         Some(SetUp { call, class, number: number(&key), first_choice, left, again, description })
     }
 
--- a/src/sip/message.rs
+++ b/src/sip/message.rs
@@ -240,7 +240,9 @@
     for line in lines {
         if line.starts_with([' ', '\t']) {
             let (_, value) = headers.last_mut()?;
-            value.push(' ');
+            if !value.is_empty() {
+                value.push(' ');
+            }
             value.push_str(line.trim());
             continue;
         }
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -1,5 +1,7 @@
 //! The servers' side: an INVITE for each attempt, what becomes of it, and the dialogs that stand.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 
 use crate::clock;
@@ -316,6 +318,14 @@
         }
     }
 
+    /// Nothing listens at an address: the process of the server there has ended, and what it held with it.
+    pub(super) fn refused(&mut self, address: SocketAddr) {
+        let server = self.directory.servers().find(|s| self.directory.address(*s) == Some(address));
+        if let Some(server) = server.filter(|_| self.over_tcp) {
+            self.lost(server, clock::now());
+        }
+    }
+
     /// A client transaction's timer has come.
     pub(super) fn client_tick(&mut self, key: &ClientKey, now: Micros) {
         let Some(transaction) = self.client_txns.get_mut(key) else { return };
--- a/src/sip/transport.rs
+++ b/src/sip/transport.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -185,7 +186,15 @@
             }
             run(front, id, stream).await;
         }
-        Ok(Err(_)) | Err(_) => front.borrow_mut().conn_ended(id, false),
+        Ok(Err(e)) => {
+            let refused = e.kind() == io::ErrorKind::ConnectionRefused;
+            let mut front = front.borrow_mut();
+            front.conn_ended(id, false);
+            if refused {
+                front.refused(address);
+            }
+        }
+        Err(_) => front.borrow_mut().conn_ended(id, false),
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -303,6 +303,21 @@
     assert!(program.runs());
 }
 
+/// However long a caller says it waits, the call is set up like any other.
+#[rstest]
+#[case::huge("1e300")]
+#[case::in_quotes("\"18446744073709551615\"")]
+fn an_endless_wait_is_no_trouble(#[case] left: &str) {
+    let (_server, mut program, mut far, mut caller) = one_call();
+    let opts = format!("{{\"class\":\"check-setup\",\"left\":{left},\"key\":\"01\"}}");
+    caller
+        .raw(format!("{{\"verb\":\"START\",\"tag\":\"{TAG}\",\"opts\":{opts},\"blob\":\"d\"}}\n").as_bytes());
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+    assert!(program.runs());
+}
+
 #[test]
 fn unknown_types_and_ids_are_ignored() {
     let (_server, _program, mut far, mut caller) = one_call();
@@ -346,6 +361,23 @@
     good.nothing_but_an_echo();
 }
 
+/// What still stands when the time after SIGTERM is over is released on both sides, before SIGKILL may come.
+#[test]
+fn a_planned_stop_releases_what_still_stands() {
+    let (_server, mut program, mut far, mut caller) = one_call();
+    caller.start(TAG, 5000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+    let told = Instant::now();
+    program.terminate();
+    far.expect("ECHO"); // it goes on listening for the server
+    assert_eq!(far.expect("FINISH")["rc"], 16);
+    assert_eq!(caller.expect("FINISH")["rc"], 41);
+    assert!(program.ended().success());
+    assert!(told.elapsed() > Duration::from_millis(2_900), "{:?}", told.elapsed());
+}
+
 /// SIGTERM: what comes in is still answered, what stands may end, then the program ends well.
 #[test]
 fn a_planned_stop_answers_everything_first() {
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -15,7 +15,7 @@
 
 /// A gatekeeper, one server behind it and one caller before it, all on one transport.
 struct Site {
-    _program: Program,
+    program: Program,
     resolver: Resolver,
     caller: Agent,
     server: Agent,
@@ -33,32 +33,21 @@
 /// For TCP the server's connection is only there once the first call goes out, so a story's first INVITE is sent
 /// here.
 fn site(on: On, wait_ms: u64, call: &str) -> (Site, Got) {
-    let (udp, gate, gate_tcp, listener, resolver) = match on {
-        On::Udp => {
-            let server = Agent::udp("127.0.0.1:9".parse().unwrap());
-            let resolver = Resolver::new(vec![line("s-1", server.own, 0)]);
-            let (program, udp, tcp) = Program::sip(&resolver, "_sip._udp.pool.lan", wait_ms);
-            (Some((server, program)), udp, tcp, None, resolver)
-        }
-        On::Tcp => {
-            let (listener, at) = listen();
-            (None, at, at, Some(listener), Resolver::new(vec![line("s-1", at, 0)]))
-        }
-    };
-    let (server, program, gate) = match udp {
-        Some((server, program)) => (Some(server), program, gate),
-        None => {
-            let (program, _, tcp) = Program::sip(&resolver, "_sip._tcp.pool.lan", wait_ms);
-            (None, program, tcp)
-        }
+    let datagrams = Agent::udp(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let (listener, at) = listen();
+    let (address, service) = match on {
+        On::Udp => (datagrams.own, "_sip._udp.pool.lan"),
+        On::Tcp => (at, "_sip._tcp.pool.lan"),
     };
-    let _ = gate_tcp;
-    resolver.asked_anew();
+    let resolver = Resolver::new(vec![line("s-1", address, 0)]);
+    let (program, udp, tcp) = Program::sip(&resolver, service, wait_ms);
+    resolver.asked_anew(); // by then the program knows its server
+    let gate = if on == On::Udp { udp } else { tcp };
     let mut caller = if on == On::Udp { Agent::udp(gate) } else { Agent::tcp(gate) };
     caller.invite(call);
-    let mut server = server.unwrap_or_else(|| Agent::accept(listener.as_ref().unwrap()));
+    let mut server = if on == On::Udp { datagrams } else { Agent::accept(&listener) };
     let invite = server.expect("INVITE");
-    (Site { _program: program, resolver, caller, server, listener, gate }, invite)
+    (Site { program, resolver, caller, server, listener: Some(listener), gate }, invite)
 }
 
 /// A call that stands: the server's INVITE and the caller's 200, ACKed on both sides.
@@ -373,6 +362,31 @@
     assert_eq!(back.expect("SIP/2.0 200").get("Call-ID"), "c17");
 }
 
+/// SIGTERM: what stands may go on for 3 s, then it is ended on both sides, and the program ends well.
+#[test]
+fn a_planned_stop_ends_what_still_stands() {
+    let (mut site, _, _) = standing(On::Udp, "c19");
+    site.program.terminate();
+    site.server.expect("BYE");
+    site.caller.expect("BYE");
+    assert!(site.program.ended().success());
+    assert!(!site.program.rest_of_log().contains("guard"));
+}
+
+/// Nothing listens where a server did: its process has ended, and its calls with it.
+#[test]
+fn calls_of_a_dead_server_are_ended_towards_their_callers() {
+    let (mut site, _, _) = standing(On::Tcp, "c20");
+    site.listener = None;
+    drop(std::mem::replace(&mut site.server, Agent::udp(site.gate)));
+    site.resolver.asked_anew(); // by then the program has seen the connection's end
+    site.caller.invite("c21");
+    let bye = site.caller.expect("BYE");
+    assert_eq!(bye.get("Call-ID"), "c20");
+    site.caller.cancel("c21");
+    site.caller.expect("SIP/2.0 487");
+}
+
 #[rstest]
 #[case::no_call_id("Call-ID: bad\r\n", "", Some("SIP/2.0 400"))]
 #[case::no_from_tag(";tag=f-bad", "", Some("SIP/2.0 400"))]
@@ -401,7 +415,7 @@
             assert_eq!(odd.got.len(), 1, "nothing for what was dropped");
         }
     }
-    assert!(site._program.runs());
+    assert!(site.program.runs());
     site.caller.cancel("c18");
     site.caller.expect("SIP/2.0 487");
 }
