--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -110,6 +110,26 @@
     caller.expect("STARTED");
 }
 
+/// What is known of a server is too old to send by: it is probed, and its answer lets the call go there.
+#[test]
+fn a_server_unheard_of_is_probed_first() {
+    let (server, at) = listen();
+    let mut set = settings();
+    set["ceilings"]["probes"] = json!(true);
+    let (_program, gate) = Program::platform(&Resolver::new(vec![line("s-1", at, 0)]), set);
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 9000, 0);
+    let test = far.expect("ECHO");
+    assert_eq!(test["rc"], 0);
+    far.say(
+        json!({"verb": "ECHOED", "tag": test["tag"], "opts": {"load": "x0:9;x1:40;latency_ms:3"}, "rc": 1}),
+    );
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+}
+
 /// A call that is given up on is answered at once, with the time to stay away; it is not held to its deadline.
 #[test]
 fn a_refusal_comes_at_once_and_says_when_to_come_back() {
