--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -60,22 +60,25 @@
 pub struct Program {
     child: Child,
     log: BufReader<ChildStderr>,
-    _config: Scratch,
+    _configs: Vec<Scratch>,
 }
 
 impl Program {
-    fn start(flag: &str, config: &Value) -> Program {
-        let config = Scratch::new(&config.to_string());
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cobaltspool"))
-            .args(["serve", flag])
-            .arg(&config.0)
+    fn start(fronts: &[(&str, Value)]) -> Program {
+        let configs: Vec<Scratch> = fronts.iter().map(|(_, c)| Scratch::new(&c.to_string())).collect();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cobaltspool"));
+        command.arg("serve");
+        for ((flag, _), config) in fronts.iter().zip(&configs) {
+            command.arg(flag).arg(&config.0);
+        }
+        let mut child = command
             .env_remove("LB_CONFIG")
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .expect("starts");
         let log = BufReader::new(child.stderr.take().unwrap());
-        Program { child, log, _config: config }
+        Program { child, log, _configs: configs }
     }
 
     /// The addresses in the line that says what the program serves.
@@ -90,30 +93,49 @@
 
     /// A gatekeeper on the platform's protocol, with these servers known from the start.
     pub fn platform(resolver: &Resolver, settings: Value) -> (Program, SocketAddr) {
+        let mut program = Program::start(&[("--config", Program::platform_config(resolver, settings))]);
+        let address = program.served()[0];
+        (program, address)
+    }
+
+    /// A gatekeeper with both fronts: the platform's address, and SIP's over UDP.
+    pub fn both(platform: &Resolver, sip: &Resolver, service: &str) -> (Program, SocketAddr, SocketAddr) {
+        let fronts = [
+            ("--config", Program::platform_config(platform, settings())),
+            ("--sip", Program::sip_config(sip, service, 9000)),
+        ];
+        let mut program = Program::start(&fronts);
+        // Either may be the first to serve; only SIP has two addresses.
+        let (one, two) = (program.served(), program.served());
+        let (platform, sip) = if one.len() == 1 { (one, two) } else { (two, one) };
+        (program, platform[0], sip[0])
+    }
+
+    fn platform_config(resolver: &Resolver, settings: Value) -> Value {
         let (seq, list) = resolver.known();
-        let config = json!({
+        json!({
             "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": resolver.address.to_string(),
             "known": {"seq": seq, "results": [
                 {"seq": seq, "fleet": {"generation": 1, "reset": false, "instances": list}}]},
             "settings": settings
-        });
-        let mut program = Program::start("--config", &config);
-        let address = program.served()[0];
-        (program, address)
+        })
     }
 
     /// A gatekeeper on SIP: its UDP and TCP addresses.
     pub fn sip(resolver: &Resolver, service: &str, wait_ms: u64) -> (Program, SocketAddr, SocketAddr) {
-        let config = json!({
-            "name": "s1", "udp": "127.0.0.1:0", "tcp": "127.0.0.1:0", "dns": resolver.address.to_string(),
-            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings()
-        });
-        let mut program = Program::start("--sip", &config);
+        let mut program = Program::start(&[("--sip", Program::sip_config(resolver, service, wait_ms))]);
         let addresses = program.served();
         (program, addresses[0], addresses[1])
     }
 
+    fn sip_config(resolver: &Resolver, service: &str, wait_ms: u64) -> Value {
+        json!({
+            "name": "s1", "udp": "127.0.0.1:0", "tcp": "127.0.0.1:0", "dns": resolver.address.to_string(),
+            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings()
+        })
+    }
+
     pub fn terminate(&self) {
         let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -362,6 +362,35 @@
     assert_eq!(back.expect("SIP/2.0 200").get("Call-ID"), "c17");
 }
 
+/// One program may have both fronts; each has its own callers, servers and calls.
+#[test]
+fn both_fronts_in_one_program() {
+    let (listener, at) = listen();
+    let mut server = Agent::udp(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let platform = Resolver::new(vec![line("s-1", at, 0)]);
+    let sip = Resolver::new(vec![line("s-1", server.own, 0)]);
+    let (mut program, gate, sip_gate) = Program::both(&platform, &sip, "_sip._udp.pool.lan");
+    let mut far = Lines::accept(&listener);
+    let mut lines = Lines::connect(gate);
+    lines.start("9b1f03aa5c7e2d41", 9000, 0);
+    let start = far.expect("START");
+    sip.asked_anew();
+    let mut caller = Agent::udp(sip_gate);
+    caller.invite("c22");
+    let invite = server.expect("INVITE");
+    server.answer(&invite, "200 OK", "far", "");
+    let ok = caller.expect("SIP/2.0 200");
+    caller.in_dialog(&ok, "ACK", 1);
+    far.started(&start["tag"]);
+    lines.expect("STARTED");
+    program.terminate();
+    far.finish(&start["tag"], 16, serde_json::json!({}));
+    assert_eq!(lines.expect("FINISH")["rc"], 16);
+    server.expect("BYE");
+    caller.expect("BYE");
+    assert!(program.ended().success(), "it ends once both fronts have");
+}
+
 /// SIGTERM: what stands may go on for 3 s, then it is ended on both sides, and the program ends well.
 #[test]
 fn a_planned_stop_ends_what_still_stands() {
