Reload on SIGHUP; no failed, cut or older DNS answer replaces the list

Checked: src/main.rs took SIGTERM and SIGINT only, so the system's default for SIGHUP ended it; no log line before.

Now signals are heard before the configuration is read; on SIGHUP the files are read again and the resolvers' addresses are taken, for both fronts; the numbers go on (RFC 1982); a bad file is logged and changes nothing.

--- a/src/list/dns.rs
+++ b/src/list/dns.rs
@@ -5,7 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::str::FromStr;
 
-use hickory_proto::op::{Message, Query};
+use hickory_proto::op::{Message, Query, ResponseCode};
 use hickory_proto::rr::rdata::TXT;
 use hickory_proto::rr::{Name, RData, RecordType};
 
@@ -43,10 +43,12 @@
 }
 
 impl Records {
-    /// Reads an answer to the question with this id; false if it is no such answer.
+    /// Reads an answer to the question with this id; false if it is no such answer. A failure is none: read as
+    /// an empty list it would take every server away.
     pub fn read(&mut self, id: u16, bytes: &[u8]) -> bool {
         let Ok(message) = Message::from_vec(bytes) else { return false };
-        if message.metadata.id != id || message.metadata.truncation {
+        let head = &message.metadata;
+        if head.id != id || head.truncation || head.response_code != ResponseCode::NoError {
             return false;
         }
         for record in message.all_sections() {
--- a/src/list/resolver.rs
+++ b/src/list/resolver.rs
@@ -5,6 +5,7 @@
 
 use hickory_proto::rr::RecordType;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::Micros;
@@ -30,30 +31,51 @@
     DnsSd(String),
 }
 
-/// Asks `server` for `service` for ever, and gives `on_list` every list that differs from the one before, with
-/// the time at which it was asked for: a drain may count as told from any moment after that.
-/// `seq` is the number of the list that is known already, where lists are numbered.
+/// Asks the resolver for `service` for ever, and gives `on_list` every list that differs from the one before,
+/// with the time at which it was asked for: a drain may count as told from any moment after that.
+/// `seq` is the number of the list that is known already, where lists are numbered. The resolver's address may
+/// change at any time; the new one is asked at once, and the numbers go on.
 pub async fn follow(
-    server: SocketAddr,
+    mut resolver: watch::Receiver<SocketAddr>,
     service: Service,
     mut seq: Option<u32>,
     mut on_list: impl FnMut(Micros, Vec<Listed>),
 ) {
     let mut last: Option<Vec<Listed>> = None;
     loop {
+        let server = *resolver.borrow_and_update();
         let next = Instant::now() + PERIOD;
         let asked = clock::now();
-        if let Some((serial, list)) = ask(server, &service).await {
-            let new = if serial.is_some() { serial != seq } else { last.as_ref() != Some(&list) };
+        let answer = tokio::select! {
+            answer = ask(server, &service) => answer,
+            Ok(()) = resolver.changed() => continue,
+        };
+        if let Some((serial, list)) = answer {
+            let new = match (serial, seq) {
+                (Some(serial), Some(seq)) => is_later(serial, seq),
+                (Some(_), None) => true,
+                // Numbers that have begun do not end: it is no whole answer.
+                (None, Some(_)) => false,
+                (None, None) => last.as_ref() != Some(&list),
+            };
             if new {
                 (seq, last) = (serial, Some(list.clone()));
                 on_list(asked, list);
             }
         }
-        sleep_until(next).await;
+        tokio::select! {
+            () = sleep_until(next) => {}
+            Ok(()) = resolver.changed() => {}
+        }
     }
 }
 
+/// Whether a serial is later than another (RFC 1982). An answer may hold an older list than one before it; taken,
+/// it would bring back servers that are gone.
+fn is_later(serial: u32, than: u32) -> bool {
+    serial.wrapping_sub(than).wrapping_sub(1) < u32::MAX / 2
+}
+
 /// The list as it is now; `None` where an answer did not come.
 async fn ask(server: SocketAddr, service: &Service) -> Option<(Option<u32>, Vec<Listed>)> {
     let own: SocketAddr =
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,17 +1,19 @@
 //! The gatekeeper: reads its configuration and serves.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 
 use cobaltspool::cli::{self, Fronts, Task};
+use cobaltspool::clock::log;
 use cobaltspool::config::{self, Config, SipConfig};
 use cobaltspool::{platform, sip};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 fn main() -> ExitCode {
     let done = match cli::parser().run() {
-        Task::Serve(fronts) => read(&fronts).and_then(|(config, sip)| serve(config, sip)),
+        Task::Serve(fronts) => serve(&fronts),
         Task::Version => {
             println!("cobaltspool {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -54,12 +56,15 @@
     decode(&text).map_err(named)
 }
 
-fn serve(config: Option<Config>, sip: Option<SipConfig>) -> Result<(), String> {
+fn serve(fronts: &Fronts) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-        let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+        // Signals are heard before anything else is done: one that nobody hears ends the program.
+        let signal = |kind| signal(kind).map_err(|e| e.to_string());
+        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let hup = signal(SignalKind::hangup())?;
+        let (config, sip) = read(fronts)?;
         let (stop, stopped) = watch::channel(false);
         tokio::task::spawn_local(async move {
             tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
@@ -68,14 +73,47 @@
         let told = |mut stopped: watch::Receiver<bool>| async move {
             let _ = stopped.wait_for(|stop| *stop).await;
         };
+        let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
+        let dns = watch::Sender::new(config.as_ref().map_or(nobody, |c| c.dns));
+        let sip_dns = watch::Sender::new(sip.as_ref().map_or(nobody, |c| c.dns));
         let platform = async {
             let Some(config) = config else { return Ok(()) };
-            platform::serve(config, told(stopped.clone())).await
+            platform::serve(config, dns.subscribe(), told(stopped.clone())).await
         };
         let sip = async {
             let Some(config) = sip else { return Ok(()) };
-            sip::serve(config, told(stopped.clone())).await
+            sip::serve(config, sip_dns.subscribe(), told(stopped.clone())).await
         };
-        tokio::try_join!(platform, sip).map(|_| ())
+        tokio::select! {
+            done = async { tokio::try_join!(platform, sip) } => done.map(|_| ()),
+            () = reload(fronts, hup, &dns, &sip_dns) => Ok(()),
+        }
     })
 }
+
+/// Reads the configuration again at each SIGHUP, for ever. The resolvers' addresses count from then on; the rest
+/// holds until the next start. A file that cannot be read changes nothing.
+async fn reload(
+    fronts: &Fronts,
+    mut hup: Signal,
+    dns: &watch::Sender<SocketAddr>,
+    sip_dns: &watch::Sender<SocketAddr>,
+) {
+    while hup.recv().await.is_some() {
+        let (config, sip) = match read(fronts) {
+            Ok(read) => read,
+            Err(e) => {
+                log(&format!("reload: {e}; all stays as it was"));
+                continue;
+            }
+        };
+        let resolvers = [(dns, config.map(|c| c.dns)), (sip_dns, sip.map(|c| c.dns))];
+        for (resolver, told) in resolvers {
+            if let Some(address) = told {
+                log(&format!("reload: the resolver is {address}"));
+                resolver.send_if_modified(|held| std::mem::replace(held, address) != address);
+            }
+        }
+    }
+    std::future::pending().await
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,9 +8,11 @@
 pub mod servers;
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::clock::{self, log};
 use crate::config::Config;
@@ -37,8 +39,12 @@
 
 type Shared = Rc<RefCell<Front>>;
 
-/// Serves until it is told to stop and has nothing left to do.
-pub async fn serve(config: Config, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Serves until it is told to stop and has nothing left to do. `resolver` tells whom to ask for the list.
+pub async fn serve(
+    config: Config,
+    resolver: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
@@ -50,16 +56,16 @@
     let tasks = async {
         tokio::join!(
             clients::accept(front.clone(), listener, config.sockets / 2),
-            follow_list(front.clone(), &config)
+            follow_list(front.clone(), resolver, config.seq)
         )
     };
     host::run(front.clone(), tasks, stop).await;
     Ok(())
 }
 
-async fn follow_list(front: Shared, config: &Config) {
+async fn follow_list(front: Shared, server: watch::Receiver<SocketAddr>, seq: u32) {
     let service = resolver::Service::Srv("_back._tcp.pool.lan.".to_string());
-    resolver::follow(config.dns, service, Some(config.seq), |asked, list| {
+    resolver::follow(server, service, Some(seq), |asked, list| {
         front.borrow_mut().take_list(asked, ListScope::Whole, list);
     })
     .await;
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -13,11 +13,13 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 
 use crate::clock::{self, log};
 use crate::config::SipConfig;
@@ -102,8 +104,12 @@
     me: Weak<RefCell<Front>>,
 }
 
-/// Serves until it is told to stop and has nothing left to do.
-pub async fn serve(config: SipConfig, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// Serves until it is told to stop and has nothing left to do. `resolver` tells whom to ask for the list.
+pub async fn serve(
+    config: SipConfig,
+    resolver: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), String> {
     let named = |what: &str, e: std::io::Error| format!("cannot listen on {what}: {e}");
     let udp = UdpSocket::bind(config.udp).await.map_err(|e| named("udp", e))?;
     let tcp = TcpListener::bind(config.tcp).await.map_err(|e| named("tcp", e))?;
@@ -118,7 +124,7 @@
     let follow = async {
         let service = resolver::Service::DnsSd(config.service.clone());
         let on_list = |asked, list| front.borrow_mut().take_list(asked, list);
-        resolver::follow(config.dns, service, None, on_list).await;
+        resolver::follow(resolver, service, None, on_list).await;
     };
     let tasks = async {
         tokio::join!(
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -10,6 +10,7 @@
 use cobaltspool::{ListScope, PoolId, ServerId, Status};
 use peers::*;
 use rstest::rstest;
+use tokio::sync::watch;
 
 fn listed(id: &str, port: u16, status: Status) -> Listed {
     Listed { id: id.into(), address: ([127, 0, 0, 1], port).into(), pool: PoolId(2), started_at: 0, status }
@@ -25,7 +26,7 @@
         }
     };
     tokio::select! {
-        () = follow(resolver.address, service, None, on_list) => {}
+        () = follow(watch::channel(resolver.address).1, service, None, on_list) => {}
         () = found => {}
         () = tokio::time::sleep(PATIENCE) => panic!("no such list came"),
     }
@@ -80,3 +81,43 @@
     assert_eq!(changes.restarted, [(ServerId(1), 9)], "the same machine, another process");
     assert_eq!((directory.up(ServerId(1)), directory.name(ServerId(1))), (true, "b"));
 }
+
+/// What is no good answer changes nothing: a failure read as an empty list, or an older list, would take every
+/// server away.
+#[rstest]
+#[case::failure(Slip::Failure)]
+#[case::other_id(Slip::OtherId)]
+#[case::cut_short(Slip::Short)]
+#[case::older(Slip::Older)]
+#[tokio::test(flavor = "current_thread")]
+async fn a_spoilt_answer_is_no_list(#[case] slip: Slip) {
+    let resolver = Resolver::new(vec![line("s-1", ([127, 0, 0, 1], 5071).into(), 2)]).numbered(7);
+    let seen = RefCell::new(Vec::new());
+    let service = Service::Srv("_back._tcp.pool.lan".into());
+    let told = watch::channel(resolver.address).1;
+    let on_list = |_, list: Vec<Listed>| seen.borrow_mut().push(list.len());
+    let story = async {
+        let came = async |n: usize| {
+            while seen.borrow().len() < n {
+                tokio::task::yield_now().await;
+            }
+        };
+        came(1).await;
+        resolver.slip(Some(slip));
+        tokio::task::spawn_blocking({
+            let resolver = resolver.clone();
+            move || resolver.asked_often(2)
+        })
+        .await
+        .unwrap();
+        resolver.slip(None);
+        resolver.change(0, |list| list.push(line("s-2", ([127, 0, 0, 1], 5072).into(), 2)));
+        came(2).await;
+    };
+    tokio::select! {
+        () = follow(told, service, None, on_list) => {}
+        () = story => {}
+        () = tokio::time::sleep(PATIENCE) => panic!("no such list came"),
+    }
+    assert_eq!(*seen.borrow(), [1, 2], "sizes of the lists taken");
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hickory_proto::op::Message;
+use hickory_proto::op::{Message, ResponseCode};
 use hickory_proto::rr::rdata::{A, PTR, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
 use serde_json::{Value, json};
@@ -60,16 +60,18 @@
 pub struct Program {
     child: Child,
     log: BufReader<ChildStderr>,
-    _configs: Vec<Scratch>,
+    files: Vec<Scratch>,
+    /// What the first front was started with.
+    config: Value,
 }
 
 impl Program {
     fn start(fronts: &[(&str, Value)]) -> Program {
-        let configs: Vec<Scratch> = fronts.iter().map(|(_, c)| Scratch::new(&c.to_string())).collect();
+        let files: Vec<Scratch> = fronts.iter().map(|(_, c)| Scratch::new(&c.to_string())).collect();
         let mut command = Command::new(env!("CARGO_BIN_EXE_cobaltspool"));
         command.arg("serve");
-        for ((flag, _), config) in fronts.iter().zip(&configs) {
-            command.arg(flag).arg(&config.0);
+        for ((flag, _), file) in fronts.iter().zip(&files) {
+            command.arg(flag).arg(&file.0);
         }
         let mut child = command
             .env_remove("LB_CONFIG")
@@ -78,7 +80,7 @@
             .spawn()
             .expect("starts");
         let log = BufReader::new(child.stderr.take().unwrap());
-        Program { child, log, _configs: configs }
+        Program { child, log, files, config: fronts[0].1.clone() }
     }
 
     /// The addresses in the line that says what the program serves.
@@ -137,10 +139,36 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the first front's configuration file by one that names this resolver, and sends SIGHUP.
+    pub fn reload(&self, resolver: SocketAddr) {
+        let mut config = self.config.clone();
+        config["dns"] = json!(resolver.to_string());
+        self.replace(&config.to_string());
+    }
+
+    /// Replaces the first front's configuration file by this text, and sends SIGHUP.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(&self.files[0].0, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
+        let done = Command::new("kill").args([which, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
     }
 
+    /// Waits until it has logged this.
+    pub fn logged(&mut self, words: &str) {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended before it logged {words}");
+        }
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         eventually("the program ends", || self.child.try_wait().unwrap())
     }
@@ -194,13 +222,31 @@
     list: Vec<Line>,
     /// When an answer with this serial was first sent.
     told: Vec<(u32, Instant)>,
+    /// Questions so far.
+    asked: u32,
     /// Questions that get no answer first.
     lose: u32,
     /// Nothing is told beyond what was asked for.
     lean: bool,
+    /// Answers are no lists, for as long as this is so.
+    slip: Option<Slip>,
+}
+
+/// What is wrong with a resolver's answers.
+#[derive(Clone, Copy, Debug)]
+pub enum Slip {
+    /// They report a failure.
+    Failure,
+    /// They come under another id.
+    OtherId,
+    /// They are cut short.
+    Short,
+    /// They hold an empty list with an older number.
+    Older,
 }
 
 /// The resolver.
+#[derive(Clone)]
 pub struct Resolver {
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
@@ -210,18 +256,27 @@
     pub fn new(list: Vec<Line>) -> Resolver {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         let address = socket.local_addr().unwrap();
-        let state = Arc::new(Mutex::new(State { serial: 1, list, told: Vec::new(), lose: 0, lean: false }));
+        let state = Arc::new(Mutex::new(State {
+            serial: 1,
+            list,
+            told: Vec::new(),
+            asked: 0,
+            lose: 0,
+            lean: false,
+            slip: None,
+        }));
         let shared = state.clone();
         thread::spawn(move || {
             let mut buffer = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut buffer) {
                 let mut state = shared.lock().unwrap();
+                state.asked += 1;
                 if state.lose > 0 {
                     state.lose -= 1;
                     continue;
                 }
                 let Ok(question) = Message::from_vec(&buffer[..size]) else { continue };
-                let answer = state.answer(&question).to_vec().unwrap();
+                let answer = state.spoilt(&question);
                 let serial = state.serial;
                 if state.told.last().is_none_or(|(s, _)| *s != serial) {
                     state.told.push((serial, Instant::now()));
@@ -251,6 +306,24 @@
         state.serial
     }
 
+    /// From now on answers are spoilt, or good again.
+    pub fn slip(&self, slip: Option<Slip>) {
+        self.state.lock().unwrap().slip = slip;
+    }
+
+    /// Waits for so many questions more.
+    pub fn asked_often(&self, times: u32) {
+        let asked = || self.state.lock().unwrap().asked;
+        let until = asked() + times;
+        eventually("questions", || (asked() >= until).then_some(()));
+    }
+
+    /// Numbers its list from here on.
+    pub fn numbered(self, serial: u32) -> Resolver {
+        self.state.lock().unwrap().serial = serial;
+        self
+    }
+
     /// Waits until a question has come that was asked after this call began.
     pub fn asked_anew(&self) {
         for _ in 0..2 {
@@ -275,6 +348,28 @@
 }
 
 impl State {
+    /// The answer, with what is wrong with it.
+    fn spoilt(&self, question: &Message) -> Vec<u8> {
+        let mut answer = self.answer(question);
+        match self.slip {
+            Some(Slip::Failure) => {
+                answer = question.clone().into_response();
+                answer.metadata.response_code = ResponseCode::ServFail;
+            }
+            Some(Slip::OtherId) => answer.metadata.id = answer.metadata.id.wrapping_add(1),
+            Some(Slip::Older) => {
+                let older = State { serial: self.serial - 1, list: vec![], told: vec![], ..*self };
+                answer = older.answer(question);
+            }
+            Some(Slip::Short) | None => {}
+        }
+        let mut bytes = answer.to_vec().unwrap();
+        if matches!(self.slip, Some(Slip::Short)) {
+            bytes.truncate(bytes.len() * 2 / 3);
+        }
+        bytes
+    }
+
     fn answer(&self, question: &Message) -> Message {
         let mut answer = question.clone().into_response();
         let asked = &question.queries[0];
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -424,3 +424,26 @@
     assert!(program.ended().success());
     assert!(!program.rest_of_log().contains("guard"));
 }
+
+/// On SIGHUP the resolver that the file names is asked, and the numbers go on; a bad file changes nothing. A
+/// program that does not hear SIGHUP is ended by it.
+#[test]
+fn a_new_configuration_names_another_resolver() {
+    let (server, at) = listen();
+    let (_other, other_at) = listen();
+    let first = Resolver::new(vec![line("s-0", other_at, 0)]).numbered(3);
+    let (mut program, gate) = Program::platform(&first, settings());
+    first.asked_often(1);
+    program.replace("{");
+    program.logged("all stays as it was");
+    first.asked_often(2);
+    let second = Resolver::new(vec![line("s-1", at, 1)]).numbered(4);
+    program.reload(second.address);
+    let mut far = Lines::accept(&server);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 3000, 1);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
+    assert!(program.runs());
+}
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -575,3 +575,20 @@
         }
     }
 }
+
+/// A reload names another resolver for this front too.
+#[test]
+fn a_new_configuration_names_another_resolver() {
+    let (mut site, invite) = site(On::Udp, 9000, "one");
+    site.server.answer(&invite, "503 Service Unavailable", "far", "");
+    site.server.expect("ACK");
+    let other = Agent::udp(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let second = Resolver::new(vec![line("s-2", other.own, 0)]).numbered(9);
+    site.program.reload(second.address);
+    second.asked_often(2); // the first answer has been taken by then
+    let mut caller = Agent::udp(site.gate);
+    caller.invite("two");
+    let mut other = other;
+    other.expect("INVITE");
+    assert!(site.program.runs());
+}
