Give idle callers' places to new ones; hold the release wait for a call sent again

Lines at fault: clients.rs `accept` turned newcomers away at the limit and nothing ever closed an idle connection; `set_up` said nothing to a set-up under another connection's open id; `read` took any `left` (1e300 was cut down and passed on as a good figure) and any float as `dest`; the core kept a release wait only for as long as its call was in the book, so the same call, sent again at once, went out at once.

Now idle connections make way, unused ones first, and unused ones close after 2 s; the book remembers names of calls that are over for the release wait, for both fronts (platform: the id; SIP: Session-ID or Call-ID). A release that waits for a connection goes to its own peer's next one, or to one on which a set-up was taken, not to a stranger.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -1,6 +1,6 @@
 //! Admit: the module's verdicts become final answers, at once and once.
 
-use super::book::State;
+use super::book::{Out, State};
 use super::{AttemptId, Command, Gateway};
 use crate::{CallId, Event, Micros, Outcome};
 
@@ -23,7 +23,7 @@
     /// Takes an open call out of the book, with whatever it still has out. A verdict on a call that is over
     /// already is no error: what ended it and the verdict may have crossed.
     fn finish(&mut self, call: CallId, out: &mut Vec<Command>) -> bool {
-        let Some(attempt) = self.book.close_open(call) else { return false };
+        let Some(attempt) = self.close_open(call) else { return false };
         if let Some(at) = attempt {
             let attempt = AttemptId { call, number: at.number };
             out.push(Command::GiveUp { attempt, server: at.server });
@@ -32,6 +32,14 @@
         true
     }
 
+    /// Takes a call out of the book that is still owed its final answer; the caller of this gives that answer.
+    /// What is out is called off with it, so the release wait begins now.
+    pub(super) fn close_open(&mut self, call: CallId) -> Option<Option<Out>> {
+        let (_, attempt) = self.book.open_mut(call)?;
+        let rest = if attempt.is_some() { self.now + self.set.rules.release_wait } else { 0 };
+        self.book.close(call, rest).map(|_| attempt)
+    }
+
     /// Ends attempts whose time is up, and answers what the module has left unanswered past its deadline.
     pub(super) fn expire(&mut self, out: &mut Vec<Command>) {
         while let Some(call) = self.book.pop_due(self.now) {
@@ -59,7 +67,7 @@
     /// The program ends: open calls get their answer, standing ones are released on both sides.
     pub(super) fn close(&mut self, out: &mut Vec<Command>) {
         for call in self.book.all() {
-            match self.book.close(call) {
+            match self.book.close(call, 0) {
                 Some(State::Open(attempt)) => {
                     // Refused where nothing may have run, so that the caller may try elsewhere at once.
                     let Some(at) = attempt else {
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -1,6 +1,6 @@
 //! Book: the call table, the deadlines of calls and attempts, and each call's one final answer.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use bytes::Bytes;
 
@@ -33,6 +33,8 @@
 pub struct Entry {
     /// Where it is.
     pub state: State,
+    /// Its name on the wire.
+    name: Box<str>,
     /// When its caller gives up.
     pub due: Micros,
     /// Attempts so far.
@@ -49,20 +51,34 @@
     calls: BTreeMap<CallId, Entry>,
     dues: BTreeSet<(Micros, CallId)>,
     standing: usize,
+    /// Names of calls that are over, and until when they may not go out again; the same in the order of their ends.
+    resting: HashMap<Box<str>, Micros>,
+    rests: VecDeque<(Micros, Box<str>)>,
 }
 
 impl Book {
     /// Opens a call; false if it is in the book already.
-    pub fn open_call(&mut self, call: CallId, due: Micros, description: Bytes) -> bool {
+    pub fn open_call(&mut self, call: CallId, name: Box<str>, due: Micros, description: Bytes) -> bool {
         if self.calls.contains_key(&call) {
             return false;
         }
-        let entry = Entry { state: State::Open(None), due, attempts: 0, wait_until: 0, description };
+        let entry = Entry { state: State::Open(None), name, due, attempts: 0, wait_until: 0, description };
         self.calls.insert(call, entry);
         self.dues.insert((due, call));
         true
     }
 
+    /// Until when a call of this name may not go out, if an earlier one's attempt may still hold something.
+    pub fn rests_until(&mut self, name: &str, now: Micros) -> Option<Micros> {
+        while self.rests.front().is_some_and(|(until, _)| *until <= now) {
+            let Some((_, over)) = self.rests.pop_front() else { break };
+            if self.resting.get(&over).is_some_and(|until| *until <= now) {
+                self.resting.remove(&over);
+            }
+        }
+        self.resting.get(name).copied().filter(|until| now < *until)
+    }
+
     /// A call, if it is open or stands.
     pub fn get(&self, call: CallId) -> Option<&Entry> {
         self.calls.get(&call)
@@ -99,9 +115,15 @@
         true
     }
 
-    /// Takes a call out, whatever its state: the one place where a call's time in the book ends.
-    pub fn close(&mut self, call: CallId) -> Option<State> {
+    /// Takes a call out, whatever its state: the one place where a call's time in the book ends. Its name rests
+    /// until `rest`, or until an earlier attempt's release wait is over.
+    pub fn close(&mut self, call: CallId, rest: Micros) -> Option<State> {
         let entry = self.calls.remove(&call)?;
+        let rest = rest.max(entry.wait_until);
+        if rest > 0 {
+            self.rests.push_back((rest, entry.name.clone()));
+            self.resting.insert(entry.name, rest);
+        }
         self.dues.remove(&(entry.due, call));
         match entry.state {
             State::Open(Some(out)) => {
@@ -113,12 +135,6 @@
         Some(entry.state)
     }
 
-    /// Takes a call out if it is still owed its final answer; the caller of this gives that answer.
-    pub fn close_open(&mut self, call: CallId) -> Option<Option<Out>> {
-        let State::Open(out) = self.calls.get(&call)?.state else { return None };
-        self.close(call).map(|_| out)
-    }
-
     /// The earliest deadline.
     pub fn next_due(&self) -> Option<Micros> {
         self.dues.first().map(|(at, _)| *at)
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -6,11 +6,18 @@
 
 impl Gateway {
     pub(super) fn take_in(&mut self, set_up: SetUp, out: &mut Vec<Command>) {
-        let SetUp { call, class, number, first_choice, left, again, description } = set_up;
+        let SetUp { call, name, class, number, first_choice, left, again, description } = set_up;
         let due = self.now.saturating_add(left);
-        if !self.book.open_call(call, due, description) {
+        let rests_until = self.book.rests_until(&name, self.now);
+        if !self.book.open_call(call, name, due, description) {
             return out.push(Command::Warn(format!("intake: call {} came twice", call.0)));
         }
+        if let Some(until) = rests_until {
+            // The same call again before the release wait is over: what it held may still stay taken. Guards
+            // against a caller that sends a call again, unchanged, the moment it is turned away (found on a day
+            // with rude callers: ten calls went out again 122 ms after an attempt that had timed out).
+            return self.refuse(call, until - self.now, out);
+        }
         if class >= self.set.classes.len() {
             return self.fail(call, out);
         }
@@ -31,7 +38,7 @@
         if self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_))) {
             return self.hung_up(call, out);
         }
-        let Some(attempt) = self.book.close_open(call) else { return };
+        let Some(attempt) = self.close_open(call) else { return };
         self.news.push_back(Event::CallerGone { call });
         if let Some(at) = attempt {
             let attempt = AttemptId { call, number: at.number };
@@ -46,7 +53,7 @@
         if !standing {
             return self.given_up(call, out);
         }
-        if let Some(State::Stands(at)) = self.book.close(call) {
+        if let Some(State::Stands(at)) = self.book.close(call, self.now + self.set.rules.release_wait) {
             let attempt = AttemptId { call, number: at.number };
             out.push(Command::Release { attempt, server: at.server });
             self.tell_end(call, at, Outcome::Cancelled, true);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,8 @@
 pub struct SetUp {
     /// A number of the front's own, never used twice.
     pub call: CallId,
+    /// The call's name on the wire. A caller may use it again once the call is over.
+    pub name: Box<str>,
     /// Place of the class in the settings.
     pub class: usize,
     /// The number called.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -37,7 +37,8 @@
         let call = attempt.call;
         let Some((state, at)) = self.held(attempt) else { return };
         if let State::Stands(_) = state {
-            self.book.close(call);
+            let rest = if outcome == Outcome::Completed { 0 } else { self.now + self.set.rules.release_wait };
+            self.book.close(call, rest);
             out.push(Command::Over { call, outcome });
             return self.tell_end_with(call, at, outcome, true, cause, load);
         }
@@ -68,7 +69,7 @@
             if !self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_))) {
                 continue; // an attempt that is out has a time-out of its own
             }
-            self.book.close(call);
+            self.book.close(call, self.now + self.set.rules.release_wait);
             out.push(Command::Release { attempt: AttemptId { call, number: at.number }, server });
             out.push(Command::Over { call, outcome: Outcome::Cut });
             self.tell_end(call, at, Outcome::Cut, true);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -40,6 +40,19 @@
         self.see(Input::List { told, scope, entries: lines.iter().map(line).collect() })
     }
 
+    fn set_up(&mut self, call: CallId, name: &str) -> Vec<Command> {
+        self.see(Input::SetUp(SetUp {
+            call,
+            name: name.into(),
+            class: 0,
+            number: Number(5),
+            first_choice: PoolId(0),
+            left: 9_000 * MS,
+            again: false,
+            description: Bytes::from_static(b"offer"),
+        }))
+    }
+
     fn end(&mut self, outcome: Outcome) -> Vec<Command> {
         let (cause, load) = (Cause::Untold, LoadReport::default());
         self.see(Input::Ended { attempt: ATTEMPT, outcome, cause, load })
@@ -55,15 +68,7 @@
     let set = Settings { fronts: 1, classes, tick: 5 * MS, max_attempts: 4, rules, ..Settings::default() };
     let mut bench = Bench { gateway: Gateway::new(set, 7), now: 1_000_000 * MS, out: Vec::new() };
     bench.list(ListScope::Whole, &[(0, Status::Up), (1, Status::Up)]);
-    let sent = bench.see(Input::SetUp(SetUp {
-        call: CALL,
-        class: 0,
-        number: Number(5),
-        first_choice: PoolId(0),
-        left: 9_000 * MS,
-        again: false,
-        description: Bytes::from_static(b"offer"),
-    }));
+    let sent = bench.set_up(CALL, "one");
     assert!(matches!(sent[..], [Command::Send { attempt: ATTEMPT, server: ServerId(0), .. }]), "{sent:?}");
     bench
 }
@@ -101,6 +106,24 @@
     assert!(sent(&bench.see(Input::Tick)), "the module's own second attempt passes");
 }
 
+/// A caller may send a call again, unchanged, the moment it has its answer; the release wait holds for it too.
+#[rstest]
+#[case::given_up(Input::GivenUp(CALL), false)]
+#[case::hung_up(Input::HungUp(CALL), true)]
+#[case::cut(Input::Lost { server: ServerId(0), at: Micros::MAX }, true)]
+fn the_same_call_again_waits_for_the_release(mut bench: Bench, #[case] end: Input, #[case] stands: bool) {
+    if stands {
+        bench.see(Input::Stands { attempt: ATTEMPT, description: Bytes::new() });
+    }
+    bench.see(end);
+    bench.now += 400 * MS;
+    let wait = 100 * MS;
+    assert_eq!(bench.set_up(CallId(2), "one"), [Command::Refuse { call: CallId(2), wait }]);
+    assert!(matches!(bench.set_up(CallId(3), "other")[..], [Command::Send { .. }]));
+    bench.now += wait;
+    assert!(matches!(bench.set_up(CallId(4), "one")[..], [Command::Send { .. }]));
+}
+
 #[rstest]
 fn one_final_answer_only(mut bench: Bench) {
     let description = Bytes::from_static(b"answer");
@@ -119,7 +142,7 @@
 #[rstest]
 fn a_call_without_a_verdict_fails_at_its_deadline(mut bench: Bench) {
     let due = bench.now + 100 * MS;
-    bench.gateway.book.open_call(CallId(2), due, Bytes::new());
+    bench.gateway.book.open_call(CallId(2), "two".into(), due, Bytes::new());
     bench.gateway.book.sent(CallId(2), Out { number: 0, server: ServerId(0), sent: bench.now, until: due });
     bench.now = due;
     let given_up = AttemptId { call: CallId(2), number: 0 };
@@ -144,7 +167,7 @@
 /// At the end an open call is refused where nothing of it may have run, and fails where something may.
 #[rstest]
 fn the_end_answers_what_is_open(mut bench: Bench) {
-    bench.gateway.book.open_call(CallId(2), bench.now + 100 * MS, Bytes::new());
+    bench.gateway.book.open_call(CallId(2), "two".into(), bench.now + 100 * MS, Bytes::new());
     let out = bench.see(Input::Close);
     let given_up = Command::GiveUp { attempt: ATTEMPT, server: ServerId(0) };
     assert_eq!(out, [given_up, Command::Fail { call: CALL }, Command::Refuse { call: CallId(2), wait: 0 }]);
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -20,10 +20,13 @@
 
 /// How long a release waits for a connection to go out on; later it would not count any more.
 const OWED: Micros = 8_000_000;
-/// No caller waits longer, whatever it says: sums of times must stay far from their type's end.
-const LEFT_MOST_MS: f64 = 3_600_000.0;
 /// Most releases that wait so.
 const OWED_MOST: usize = 10_000;
+/// A connection on which no set-up was taken for this long from its start is closed: its peer says nothing, or
+/// nothing that makes sense, and holds a descriptor.
+const NO_USE: Micros = 2_000_000;
+/// No caller means to wait longer than its class's limit; one that says so has sent a figure that is none.
+const LEFT_SLACK_MS: f64 = 1_000.0;
 
 /// What is remembered of a call for as long as it is open or stands.
 pub struct Caller {
@@ -42,25 +45,38 @@
     peer: IpAddr,
     /// Calls set up on it and not answered yet: its end gives them up.
     open: BTreeSet<CallId>,
+    opened: Micros,
+    /// When a set-up was last taken on it, or answered; `None`: never.
+    used: Option<Micros>,
+}
+
+impl ClientLink {
+    /// It may be closed: nothing is open on it, and it is not closing already.
+    fn may_close(&self) -> bool {
+        self.open.is_empty() && self.outbox.is_open()
+    }
 }
 
 /// All callers.
 pub struct Clients {
     classes: Vec<String>,
+    /// The longest that any class's caller waits, in milliseconds.
+    left_most: f64,
+    /// Most connections.
+    most: usize,
     links: HashMap<LinkId, ClientLink>,
     calls: HashMap<CallId, Caller>,
     tags: HashMap<Tag, CallId>,
     next_call: u64,
-    owed: VecDeque<(Micros, Vec<u8>)>,
+    owed: VecDeque<(Micros, IpAddr, Vec<u8>)>,
 }
 
-/// Takes connections for ever, `most` at a time.
-pub async fn accept(front: Shared, listener: TcpListener, most: usize) {
+/// Takes connections for ever.
+pub async fn accept(front: Shared, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                // Over `most` the descriptors would run out for the servers' side.
-                if front.borrow().clients.links.len() < most.max(1) {
+                if front.borrow_mut().clients.make_room() {
                     tokio::task::spawn_local(serve(front.clone(), stream, from.ip()));
                 }
             }
@@ -75,7 +91,9 @@
 async fn serve(front: Shared, stream: TcpStream, peer: IpAddr) {
     let outbox = Rc::new(Outbox::default());
     let id = front.borrow_mut().new_link();
-    front.borrow_mut().clients.add(id, ClientLink { outbox: outbox.clone(), peer, open: BTreeSet::new() });
+    let opened = clock::now();
+    let link = ClientLink { outbox: outbox.clone(), peer, open: BTreeSet::new(), opened, used: None };
+    front.borrow_mut().clients.add(id, link);
     let on_line = |line: Line| front.borrow_mut().client_says(id, line);
     let _ = link::run(stream, outbox, reader(on_line), || {}).await;
     front.borrow_mut().client_left(id);
@@ -90,6 +108,7 @@
             (Verb::Start, None) => return false,
             (Verb::Finish, Some(tag)) => {
                 if let Some(call) = self.clients.tags.get(&tag).copied() {
+                    self.clients.was_used(id);
                     self.clients.write(id, &encode("FINISHED", tag, &[], None, None));
                     self.clients.forget(call);
                     self.feed(Input::GivenUp(call));
@@ -106,8 +125,13 @@
     }
 
     fn set_up(&mut self, id: LinkId, tag: Tag, line: Line) {
-        if self.clients.tags.contains_key(&tag) {
-            return; // the same set-up again: the call is open or stands, and has or gets its one answer
+        if let Some(call) = self.clients.tags.get(&tag) {
+            // The same set-up again: the call is open or stands, and has or gets its one answer where it came in.
+            // Another connection has no part in that call and is told so.
+            if self.clients.calls.get(call).is_some_and(|c| c.link != id) {
+                self.clients.write(id, &encode("FINISH", tag, &[], Some(cause::BAD_FIELD), None));
+            }
+            return;
         }
         let Some(set_up) = self.clients.read(id, tag, line) else {
             self.clients.write(id, &encode("FINISH", tag, &[], Some(cause::BAD_FIELD), None));
@@ -126,9 +150,12 @@
 }
 
 impl Clients {
-    pub(super) fn new(classes: Vec<String>) -> Self {
+    /// Callers of these classes, of whom none waits longer than `longest_wait`, on at most `most` connections.
+    pub(super) fn new(classes: Vec<String>, longest_wait: Micros, most: usize) -> Self {
         Clients {
             classes,
+            left_most: longest_wait as f64 / 1000.0 + LEFT_SLACK_MS,
+            most: most.max(1),
             links: HashMap::new(),
             calls: HashMap::new(),
             tags: HashMap::new(),
@@ -143,13 +170,45 @@
     }
 
     fn add(&mut self, id: LinkId, link: ClientLink) {
+        let peer = link.peer;
+        self.links.insert(id, link);
+        self.pay_owed(id, |caller| caller == peer);
+    }
+
+    /// Sends the releases that wait for a connection on this one, those that it fits. A connection that has said
+    /// nothing yet fits only its own peer's callers: a stranger would hear them and keep them to itself.
+    fn pay_owed(&mut self, id: LinkId, fits: impl Fn(IpAddr) -> bool) {
         let now = clock::now();
-        for (until, message) in self.owed.drain(..) {
-            if now < until {
-                link.outbox.push(&message);
+        for (until, peer, message) in std::mem::take(&mut self.owed) {
+            if now < until && !(fits(peer) && self.write(id, &message)) {
+                self.owed.push_back((until, peer, message));
             }
         }
-        self.links.insert(id, link);
+    }
+
+    /// Makes room for one more connection; false if there is none, for more would take the descriptors that the
+    /// servers' side needs. Connections on which nothing is open make way, first those that were never of any use,
+    /// then those that have been without use for longest: some callers ask once and never close, and strangers
+    /// connect by the hundreds and say nothing (found on days with both: all places were taken for good, and
+    /// further callers were turned away unheard).
+    fn make_room(&mut self) -> bool {
+        if self.links.values().filter(|l| l.outbox.is_open()).count() < self.most {
+            return true;
+        }
+        let idle = self.links.values().filter(|l| l.may_close());
+        let Some(link) = idle.min_by_key(|l| (l.used.is_some(), l.used.unwrap_or(l.opened))) else {
+            return false;
+        };
+        link.outbox.close();
+        true
+    }
+
+    /// Closes connections of no use.
+    pub(super) fn care(&mut self, now: Micros) {
+        let useless = |l: &&ClientLink| l.used.is_none() && l.may_close() && now > l.opened + NO_USE;
+        for link in self.links.values().filter(useless) {
+            link.outbox.close();
+        }
     }
 
     /// Reads a set-up's fields and opens its record; `None` if a field is missing or cannot be read.
@@ -157,14 +216,14 @@
         let link = self.links.get_mut(&id)?;
         let name = line.text("class")?;
         let class = self.classes.iter().position(|c| *c == name)?;
-        let left = line.number("left").filter(|ms| *ms >= 0.0)?;
+        let left = line.number("left").filter(|ms| (0.0..=self.left_most).contains(ms))?;
         let key = line.text("key")?;
         let extras = line.text("extras").unwrap_or_default();
         let mut first_choice = PoolId(-1);
         let mut again = false;
         for (name, value) in figures(&extras) {
             match name {
-                "dest" => first_choice = PoolId(value.parse::<f64>().ok()? as i64),
+                "dest" => first_choice = PoolId(value.parse().ok()?),
                 "again" => again = value == "1",
                 _ => {}
             }
@@ -178,10 +237,12 @@
         let raw = |key| line.raw(key).unwrap_or_default().into();
         let caller = Caller { tag, class: raw("class"), key: raw("key"), link: id, peer: link.peer };
         link.open.insert(call);
+        link.used = Some(clock::now());
         self.calls.insert(call, caller);
         self.tags.insert(tag, call);
-        let left = (left.min(LEFT_MOST_MS) * 1000.0) as Micros;
-        Some(SetUp { call, class, number: number(&key), first_choice, left, again, description })
+        let left = (left * 1000.0) as Micros;
+        let name = tag.to_string().into();
+        Some(SetUp { call, name, class, number: number(&key), first_choice, left, again, description })
     }
 
     pub(super) fn answer(&mut self, call: CallId, description: &[u8]) {
@@ -191,6 +252,13 @@
         if let Some(link) = self.links.get_mut(&id) {
             link.open.remove(&call);
         }
+        self.was_used(id);
+    }
+
+    fn was_used(&mut self, id: LinkId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.used = Some(clock::now());
+        self.pay_owed(id, |_| true);
     }
 
     pub(super) fn refuse(&mut self, call: CallId, wait: Micros) {
@@ -209,16 +277,22 @@
     }
 
     /// Releases a call that stood: on the connection of its set-up, else on another of the same peer, else on
-    /// any, else on the next that comes.
+    /// any on which a set-up was taken, else on the next of these that comes.
     pub(super) fn over(&mut self, call: CallId, completed: bool) {
         let Some(caller) = self.forget(call) else { return };
         let cause = if completed { cause::NORMAL } else { cause::TEMPORARY_FAILURE };
         let message = encode("FINISH", caller.tag, &[], Some(cause), None);
-        let open = |id: &LinkId| self.links.get(id).is_some_and(|l| l.outbox.is_open());
-        let rank = |id: &LinkId| (*id != caller.link, self.links[id].peer != caller.peer, *id);
+        let open = |id: &LinkId| {
+            let link = self.links.get(id).filter(|l| l.outbox.is_open());
+            link.is_some_and(|l| l.used.is_some() || l.peer == caller.peer)
+        };
+        let rank = |id: &LinkId| {
+            let link = &self.links[id];
+            (*id != caller.link, link.peer != caller.peer, link.used.is_none(), *id)
+        };
         let link = self.links.keys().copied().filter(open).min_by_key(rank);
         if !link.is_some_and(|id| self.write(id, &message)) && self.owed.len() < OWED_MOST {
-            self.owed.push_back((clock::now() + OWED, message));
+            self.owed.push_back((clock::now() + OWED, caller.peer, message));
         }
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -55,7 +55,7 @@
     }
     let tasks = async {
         tokio::join!(
-            clients::accept(front.clone(), listener, config.sockets / 2),
+            clients::accept(front.clone(), listener),
             follow_list(front.clone(), resolver, config.seq)
         )
     };
@@ -76,7 +76,7 @@
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
                 host: Host::new(Gateway::new(config.settings.clone(), config.seed)),
-                clients: Clients::new(config.classes.clone()),
+                clients: Clients::new(config.classes.clone(), config.longest_wait, config.sockets / 2),
                 servers: Servers::new(config.dial_timeout, config.seed),
                 directory: Directory::default(),
                 me: me.clone(),
@@ -140,6 +140,7 @@
     }
 
     fn care(&mut self, now: Micros) {
+        self.clients.care(now);
         self.care_for_servers(now);
     }
 }
--- a/src/sip/clients.rs
+++ b/src/sip/clients.rs
@@ -134,6 +134,9 @@
         self.next_call += 1;
         let call = CallId(self.next_call);
         let (number, description) = (fold(user), request.body.clone());
+        // Session-ID (RFC 7989) stays the same where a call is sent again, its first part by the caller's word.
+        let session = request.get("Session-ID").and_then(|s| s.split(';').next());
+        let name = session.or(request.get("Call-ID")).unwrap_or_default().trim().into();
         let tag = self.new_name();
         let Some(transaction) = self.server_txns.get_mut(&key) else { return };
         transaction.call = Some(call);
@@ -152,7 +155,7 @@
         };
         self.callers.insert(call, caller);
         let (first_choice, again) = (PoolId(pool), false);
-        self.feed(Input::SetUp(SetUp { call, class, number, first_choice, left, again, description }));
+        self.feed(Input::SetUp(SetUp { call, name, class, number, first_choice, left, again, description }));
     }
 
     /// CANCEL (§9.2): it ends an INVITE that has no final answer, and changes nothing else.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -428,6 +428,10 @@
         Lines::on(TcpStream::connect(to).unwrap())
     }
 
+    pub fn peer(&self) -> SocketAddr {
+        self.stream.peer_addr().unwrap()
+    }
+
     pub fn accept(listener: &TcpListener) -> Lines {
         Lines::on(listener.accept().unwrap().0)
     }
