A broken connection no longer shuts its server; half a message ends its connection

Ruled out: time-outs, the token gate, the cold guard (no cold server there). Lines at fault: decide.rs `attempt_ended` blamed a server for each cut attempt, so one broken connection with four calls raised p from 0 to 1.2 and shut the server; the design counts full answers and time-outs only. A set-up whose caller soon leaves was counted alike.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -612,7 +612,13 @@
                 let sent = self.now - took.min(self.now);
                 let quiet = self.servers.get(&server).is_some_and(|s| s.heard <= sent);
                 self.servers.get_mut(&server).map(|s| s.unanswered.remove(&call));
-                self.blame(server, quiet && outcome != Outcome::Cut);
+                // A cut connection says nothing of the processor behind it, nor does a caller that soon
+                // leaves: occupancy is the share that was full or timed out (design). Guards against a broken
+                // connection with several calls on it shutting a server that is idle.
+                let soon = outcome == Outcome::Cancelled && (took as f64) < self.target();
+                if outcome != Outcome::Cut && !soon {
+                    self.blame(server, quiet);
+                }
             }
             _ => {}
         }
--- a/src/link.rs
+++ b/src/link.rs
@@ -4,12 +4,14 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 
 /// Most bytes that wait for a peer to read them; a peer that lets more pile up is cut off.
 const BACKLOG_BYTES: usize = 256 * 1024;
@@ -60,16 +62,19 @@
 
 /// Moves a connection's bytes until it ends. `on_bytes` takes whole messages out of the buffer's front and leaves
 /// the rest; it returns false to end the connection. `on_drained` hears when everything queued has been written.
+/// A message that has begun must come whole within `whole`. Guards against a peer that stops in the middle of one:
+/// nothing that it says later can be read, and what is awaited there will not come.
 pub async fn run(
     mut stream: TcpStream,
     outbox: Rc<Outbox>,
+    whole: Duration,
     on_bytes: impl FnMut(&mut BytesMut) -> bool,
     on_drained: impl FnMut(),
 ) -> io::Result<()> {
     let _ = stream.set_nodelay(true);
     let (input, output) = stream.split();
     let result = tokio::select! {
-        result = read(input, on_bytes) => result,
+        result = read(input, whole, on_bytes) => result,
         result = write(output, &outbox, on_drained) => result,
     };
     outbox.close();
@@ -77,17 +82,31 @@
     result
 }
 
-async fn read(mut input: ReadHalf<'_>, mut on_bytes: impl FnMut(&mut BytesMut) -> bool) -> io::Result<()> {
+async fn read(
+    mut input: ReadHalf<'_>,
+    whole: Duration,
+    mut on_bytes: impl FnMut(&mut BytesMut) -> bool,
+) -> io::Result<()> {
     let mut buffer = BytesMut::with_capacity(FIRST_BYTES);
+    let mut begun = Instant::now();
     loop {
         // `reserve` moves what is left to the buffer's start before it grows it.
         buffer.reserve(FIRST_BYTES / 2);
-        if input.read_buf(&mut buffer).await? == 0 {
+        let size = if buffer.is_empty() {
+            input.read_buf(&mut buffer).await?
+        } else {
+            timeout_at(begun + whole, input.read_buf(&mut buffer)).await??
+        };
+        if size == 0 {
             return Ok(());
         }
+        let held = buffer.len();
         if !on_bytes(&mut buffer) {
             return Err(io::ErrorKind::InvalidData.into());
         }
+        if buffer.len() < held || held == size {
+            begun = Instant::now(); // what is left is the beginning of another message
+        }
     }
 }
 
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -25,6 +25,8 @@
 /// A connection on which no set-up was taken for this long from its start is closed: its peer says nothing, or
 /// nothing that makes sense, and holds a descriptor.
 const NO_USE: Micros = 2_000_000;
+/// A caller's message that has begun comes whole within this.
+const WHOLE: Duration = Duration::from_secs(2);
 /// No caller means to wait longer than its class's limit; one that says so has sent a figure that is none.
 const LEFT_SLACK_MS: f64 = 1_000.0;
 
@@ -95,7 +97,7 @@
     let link = ClientLink { outbox: outbox.clone(), peer, open: BTreeSet::new(), opened, used: None };
     front.borrow_mut().clients.add(id, link);
     let on_line = |line: Line| front.borrow_mut().client_says(id, line);
-    let _ = link::run(stream, outbox, reader(on_line), || {}).await;
+    let _ = link::run(stream, outbox, WHOLE, reader(on_line), || {}).await;
     front.borrow_mut().client_left(id);
 }
 
@@ -221,10 +223,14 @@
         let extras = line.text("extras").unwrap_or_default();
         let mut first_choice = PoolId(-1);
         let mut again = false;
-        for (name, value) in figures(&extras) {
+        // Not passed on, so no server would find what is wrong with them.
+        for pair in extras.split(';').filter(|pair| !pair.trim().is_empty()) {
+            let (name, value) = figures(pair).next()?;
+            let figure: i64 = value.parse().ok()?;
             match name {
-                "dest" => first_choice = PoolId(value.parse().ok()?),
-                "again" => again = value == "1",
+                "dest" => first_choice = PoolId(figure),
+                "width" if figure < 1 => return None,
+                "again" => again = figure == 1,
                 _ => {}
             }
         }
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -21,6 +21,9 @@
 /// A connection from which an answer is awaited and nothing at all was heard for this long may be cut: cut
 /// links are silent. A new one is dialled beside it, which settles the matter.
 const QUIET: Micros = 1_500_000;
+/// A server's message that has begun comes whole within this: servers write messages at once, and calls whose
+/// answers are stuck behind half a line are lost time.
+const WHOLE: Duration = Duration::from_millis(200);
 /// A probe that takes longer has failed.
 const PROBE_TIME: Micros = 250_000;
 /// Gaps between dials to a server that cannot be reached.
@@ -115,7 +118,7 @@
         true
     };
     let on_drained = || front.borrow_mut().servers.flush(id);
-    let _ = link::run(stream, outbox, reader(on_line), on_drained).await;
+    let _ = link::run(stream, outbox, WHOLE, reader(on_line), on_drained).await;
     front.borrow_mut().link_ended(id);
 }
 
--- a/src/sip/transport.rs
+++ b/src/sip/transport.rs
@@ -18,6 +18,8 @@
 
 /// The longest datagram.
 const DATAGRAM_BYTES: usize = 65_535;
+/// A message that has begun comes whole within this; after as long a peer gives a transaction up (64 T1).
+const WHOLE: Duration = Duration::from_secs(32);
 /// Most TCP connections at a time.
 const CONNECTIONS_MOST: usize = 256;
 
@@ -170,7 +172,7 @@
         }
     };
     let on_drained = || front.borrow_mut().transport.flush(id);
-    let _ = link::run(stream, outbox, on_bytes, on_drained).await;
+    let _ = link::run(stream, outbox, WHOLE, on_bytes, on_drained).await;
     front.borrow_mut().conn_ended(id, true);
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -168,3 +168,19 @@
     };
     assert_eq!(run(), run());
 }
+
+/// A connection that breaks under several calls says nothing of the processor behind it.
+#[test]
+fn a_broken_connection_does_not_shut_its_server() {
+    let mut bed = Bed::new(2);
+    for id in 1..=6 {
+        bed.call(id, 0);
+    }
+    for id in 1..=6 {
+        bed.ends(id, Outcome::Cut, Cause::Untold, LoadReport::default());
+    }
+    bed.pass(100 * MS);
+    assert!(bed.gauge(0).u && bed.gauge(0).p < 0.1, "{:?}", bed.gauge(0));
+    bed.call(7, 0);
+    assert_eq!(bed.sent(7), [0], "its first choice is still open to a fresh call");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -202,6 +202,29 @@
     caller.expect("STARTED");
 }
 
+/// An answer that stops short leaves nothing to read behind it: the connection ends and the call goes elsewhere, with
+/// its aim still within reach.
+#[test]
+fn half_an_answer_ends_its_connection() {
+    let (server, at) = listen();
+    let (other, beside) = listen();
+    let list = vec![line("s-1", at, 0), line("s-2", beside, 1)];
+    let (_program, gate) = Program::platform(&Resolver::new(list), settings());
+    let mut far = Lines::accept(&server);
+    let mut next = Lines::accept(&other);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 9000, 0);
+    let start = far.expect("START");
+    let cut = Instant::now();
+    far.raw(b"{\"verb\":\"STARTED\",\"tag\":\"");
+    assert_eq!(far.text(), "", "the connection has ended");
+    let again = next.expect("START");
+    assert!(cut.elapsed() < Duration::from_millis(1500), "{:?}", cut.elapsed());
+    assert_eq!(again["tag"], start["tag"]);
+    next.started(&again["tag"]);
+    caller.expect("STARTED");
+}
+
 /// A process that has ended has cut its calls: connections reset, new ones refused.
 #[test]
 fn a_dead_servers_calls_are_released_towards_their_callers() {
@@ -296,6 +319,10 @@
 #[case::odd_first_choice(
     r#""opts":{"class":"check-setup","key":"01","left":"9","extras":"dest:x"},"blob":"d""#
 )]
+#[case::extras_are_no_pairs(
+    r#""opts":{"class":"check-setup","key":"01","left":"9","extras":"x"},"blob":"d""#
+)]
+#[case::no_width(r#""opts":{"class":"check-setup","key":"01","left":"9","extras":"width:0"},"blob":"d""#)]
 fn a_bad_field_gets_one_failing_finish(#[case] fields: &str) {
     let (server, _program, gate) = one_server();
     let _far = Lines::accept(&server);
