Call lost attempts off in time; an answer awaited in vain is no sign of load

Lines at fault: decide.rs `occupancy` took the oldest unanswered set-up for a wait, whatever was answered since, so one lost set-up shut an idle server for a second; `send` let an attempt run until the caller's time was up, so a lost one cost its call everything. Now a set-up that a later one has passed counts as no wait, and after a fifth of the aim (three least delays if that is longer, and the wait there on top) it is called off, and goes out again after the release wait.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,6 +40,11 @@
 /// Set-ups that one own unanswered set-up stands for, a front: others see the same server and send too.
 /// Guards against jams of any cause before delays show them. Could harm: a front that sends alone.
 const UNANSWERED_A_FRONT: f64 = 0.4;
+/// A set-up that a later one has passed at its server is lost once it has waited this share of the shortest
+/// aim, or this many of the least set-up delays there if that is longer, past the wait there: early enough to
+/// come again within the aim. Guards against servers that lose set-ups or answers.
+const LOST_SHARE: f64 = 0.2;
+const LOST_FLOORS: u64 = 3;
 /// How fast old evidence of a wait fades, seconds a second: a queue that gets nothing empties at 1, but other
 /// fronts go on sending.
 const DRAIN: f64 = 0.4;
@@ -122,6 +127,8 @@
     /// Running share of set-ups that failed there.
     faults: f64,
     unanswered: BTreeMap<CallId, Micros>,
+    /// When the latest attempt was sent that stood since.
+    passed: Micros,
     heard: Micros,
     /// When its load was last told or felt, and whether it is being asked.
     news_at: Micros,
@@ -191,6 +198,8 @@
     /// Own arrivals a second.
     arrivals: f64,
     arrived: u32,
+    /// The interval in which lost attempts were last looked for.
+    looked_at: u64,
 }
 
 impl Controller {
@@ -212,6 +221,7 @@
             absent: (0, 0),
             arrivals: 0.0,
             arrived: 0,
+            looked_at: 0,
         }
     }
 
@@ -260,6 +270,7 @@
             Event::Message { .. } | Event::ListUnavailable => {}
         }
         self.wake(out);
+        self.call_off_lost(out);
         self.pump(out);
         self.arm(out);
     }
@@ -283,7 +294,10 @@
     /// unanswered, and the share of bad answers. An unheard server counts as 0 (design).
     fn occupancy(&self, s: &Server) -> f64 {
         let faded = s.wait - DRAIN * (self.now - s.wait_at) as f64;
-        let oldest = s.unanswered.values().min().map_or(0, |t| self.seen().saturating_sub(*t));
+        // A set-up that later ones have passed is lost, not waiting: its time-out will tell. Guards against
+        // one lost answer shutting an idle server for as long as it is awaited.
+        let waits = s.unanswered.values().filter(|t| **t >= s.passed);
+        let oldest = waits.min().map_or(0, |t| self.seen().saturating_sub(*t));
         let pending = oldest.saturating_sub(if s.floor == Micros::MAX { 0 } else { s.floor }) as f64;
         let by_wait = (faded.max(pending).max(0.0) + self.weight() * s.unanswered.len() as f64 * s.work())
             / self.target();
@@ -355,8 +369,9 @@
         self.answered_by(server);
         let late = self.now - self.seen();
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.unanswered.remove(&call);
+        let sent = s.unanswered.remove(&call);
         if let Some(took) = took {
+            s.passed = s.passed.max(sent.unwrap_or(0));
             s.floor = s.floor.min(took);
             s.bad *= 1.0 - BAD_WEIGHT;
             s.faults *= 1.0 - BAD_WEIGHT;
@@ -706,6 +721,27 @@
         }
     }
 
+    /// Calls off attempts that are lost, once an interval. They say nothing of the server's load: it answers.
+    fn call_off_lost(&mut self, out: &mut Vec<Action>) {
+        if !self.set.may_cancel || self.looked_at == self.intervals {
+            return;
+        }
+        self.looked_at = self.intervals;
+        let least = (LOST_SHARE / WAIT_SHARE * self.target()) as u64;
+        let seen = self.seen();
+        for s in self.servers.values_mut() {
+            let after = least.max(LOST_FLOORS.saturating_mul(s.floor)).saturating_add(s.wait as u64);
+            let passed = s.passed;
+            s.unanswered.retain(|call, sent| {
+                let lost = *sent < passed && seen > *sent + after;
+                if let (true, Some((_, attempt))) = (lost, self.calls.get(call).and_then(|c| c.out)) {
+                    out.push(Action::Cancel { call: *call, attempt });
+                }
+                !lost
+            });
+        }
+    }
+
     fn pump(&mut self, out: &mut Vec<Action>) {
         self.fill_cold();
         let mut misses = 0;
@@ -827,6 +863,7 @@
             faults: 0.0,
             lines: 0.0,
             unanswered: BTreeMap::new(),
+            passed: 0,
             heard: now,
             news_at: 0,
             earned_at: now,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -184,3 +184,33 @@
     bed.call(7, 0);
     assert_eq!(bed.sent(7), [0], "its first choice is still open to a fresh call");
 }
+
+/// One set-up that is never answered does not shut a server that answers what was sent after it.
+#[test]
+fn a_lost_answer_does_not_shut_its_server() {
+    let mut bed = Bed::new(1);
+    bed.call(1, 0);
+    bed.pass(10 * MS);
+    bed.learn(2, 0, 20 * MS);
+    bed.pass(600 * MS);
+    assert!(bed.gauge(0).u && bed.gauge(0).p < 0.2, "{:?}", bed.gauge(0));
+    bed.call(3, 0);
+    bed.pass(600 * MS);
+    assert!(!bed.gauge(0).u, "a wait that nothing has passed still counts: {:?}", bed.gauge(0));
+}
+
+/// It is called off in time for the call to stand elsewhere within its aim, after the release wait.
+#[test]
+fn a_lost_attempt_is_called_off_and_made_again() {
+    let mut bed = Bed::new(2);
+    bed.call(1, 0);
+    bed.pass(10 * MS);
+    bed.learn(2, 0, 20 * MS);
+    bed.call(3, 0);
+    bed.pass(400 * MS);
+    assert_eq!((bed.cancels(1), bed.cancels(3)), (1, 0), "nothing has passed the last one");
+    bed.ends(1, Outcome::Cancelled, Cause::Untold, LoadReport::default());
+    bed.pass(300 * MS);
+    assert_eq!(bed.sent(1), [0, 1]);
+    assert_eq!(bed.finals(1), 0);
+}
