--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -81,6 +81,8 @@
                 if front.borrow_mut().clients.make_room() {
                     tokio::task::spawn_local(serve(front.clone(), stream, from.ip()));
                 }
+                // What made way is closed before the next comes: else a burst would take all descriptors.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 clock::log(&format!("accept: {e}"));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -67,8 +67,11 @@
 
 impl Program {
     fn start(fronts: &[(&str, Value)]) -> Program {
+        Program::start_by(Command::new(env!("CARGO_BIN_EXE_cobaltspool")), fronts)
+    }
+
+    fn start_by(mut command: Command, fronts: &[(&str, Value)]) -> Program {
         let files: Vec<Scratch> = fronts.iter().map(|(_, c)| Scratch::new(&c.to_string())).collect();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_cobaltspool"));
         command.arg("serve");
         for ((flag, _), file) in fronts.iter().zip(&files) {
             command.arg(flag).arg(&file.0);
@@ -100,6 +103,18 @@
         (program, address)
     }
 
+    /// A gatekeeper that is told of so few descriptors, and is given no more.
+    pub fn platform_within(resolver: &Resolver, sockets: u32) -> (Program, SocketAddr) {
+        let mut config = Program::platform_config(resolver, settings());
+        config["limits"]["sockets"] = json!(sockets);
+        let mut command = Command::new("sh");
+        let limit = format!("ulimit -n {sockets} && exec \"$0\" \"$@\"");
+        command.args(["-c", &limit, env!("CARGO_BIN_EXE_cobaltspool")]);
+        let mut program = Program::start_by(command, &[("--config", config)]);
+        let address = program.served()[0];
+        (program, address)
+    }
+
     /// A gatekeeper with both fronts: the platform's address, and SIP's over UDP.
     pub fn both(platform: &Resolver, sip: &Resolver, service: &str) -> (Program, SocketAddr, SocketAddr) {
         let fronts = [
@@ -138,6 +153,14 @@
         })
     }
 
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn proceed(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -466,13 +466,25 @@
 /// caller out, and who says nothing is closed.
 #[test]
 fn idle_connections_make_way_for_new_callers() {
-    let (_server, _program, gate) = one_server();
-    let silent: Vec<_> = (0..600).map(|_| Lines::connect(gate)).collect(); // more than the limit allows
+    let (server, at) = listen();
+    let resolver = Resolver::new(vec![line("s-1", at, 0)]);
+    let (mut program, gate) = Program::platform_within(&resolver, 64);
+    let mut far = Lines::accept(&server);
+    program.pause();
+    let silent: Vec<_> = (0..100).map(|_| Lines::connect(gate)).collect();
+    program.proceed(); // and finds them all at once
     let mut caller = Lines::connect(gate);
-    caller.nothing_but_an_echo();
+    caller.start(TAG, 3000, 0);
+    let start = far.expect("START");
+    far.started(&start["tag"]);
+    caller.expect("STARTED");
     for mut stranger in silent {
         assert_eq!(stranger.text(), "");
     }
+    program.terminate();
+    assert!(program.ended().success());
+    let log = program.rest_of_log();
+    assert!(!log.contains("accept"), "descriptors ran out: {log}");
 }
 
 /// A set-up under the id of another connection's call is told that it failed, without harm to that call.
