Take a told wait that does not change for the old report, and one that differs for now

Ruled out: the cold budget (the server is warm by then), free lines (120 and more), lost attempts. Line at fault: decide.rs `read_load` took each report for now and never below what it believed already (`wait.max(faded)`): a jam's last figure, told again with each answer, held an idle server shut, and a lower new figure was not believed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -117,6 +117,8 @@
     /// Latest evidence of a wait, microseconds, and when it was true.
     wait: f64,
     wait_at: Micros,
+    /// The wait that the server last told.
+    told_wait: f64,
     /// Lines in all, as told; they follow a server's size.
     lines: f64,
     busy: f64,
@@ -343,7 +345,6 @@
         if let Some(lines) = told(load.lines) {
             s.lines = lines;
         }
-        let faded = (s.wait - DRAIN * (now - s.wait_at) as f64).max(0.0);
         if let Some(allowed) = told(load.allowed) {
             s.allowed = part * allowed;
             s.earned = (s.earned + s.allowed * (now - s.earned_at) as f64 / 1e6)
@@ -351,7 +352,13 @@
             (s.share, s.news_at, s.earned_at) = (s.share.min(s.earned), now, now);
         }
         if let Some(wait) = wait.map(|ms| ms * 1000.0).or(by_waiting) {
-            (s.wait, s.wait_at, s.news_at) = (wait.max(faded), now, now);
+            // A report is told with every answer but drawn up now and then: the same figure again is the old
+            // one, and has faded since. One that differs is new and stands for now. Guards against a jam's
+            // last figure holding a server shut that has long been idle.
+            if wait != s.told_wait {
+                (s.wait, s.wait_at, s.told_wait) = (wait, now, wait);
+            }
+            s.news_at = now;
         }
         busy.is_some() || wait.is_some() || waiting.is_some() || told(load.allowed).is_some()
     }
@@ -856,6 +863,7 @@
             floor: Micros::MAX,
             wait: 0.0,
             wait_at: now,
+            told_wait: 0.0,
             busy: 0.0,
             free: f64::INFINITY,
             free_at: now,
