SIP over TCP: the longest unused connection makes way for a new one

Seen while carrying over to SIP what the platform's front does for callers: transport.rs `accept` turned a new connection away at 256, without a word, and never closed one that said nothing. Shown by a story that fails without the change: after 300 silent connections a new caller's INVITE got no answer. Now the connection taken in that has been unused for longest is closed first; what is still to be said to its peer goes to the address in its Via (RFC 3261, 18.2.2). Connections to servers, which we dial, never make way.

--- a/src/sip/transport.rs
+++ b/src/sip/transport.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
+use crate::Micros;
 use crate::clock;
 use crate::link::{self, Outbox};
 
@@ -46,6 +47,10 @@
     address: SocketAddr,
     outbox: Rc<Outbox>,
     up: bool,
+    /// It was dialled by its peer.
+    taken: bool,
+    /// When a message last came or went on it, or when it came up.
+    used: Micros,
     /// What waits for the connection to come up, or for its peer to read; with its transaction's branch.
     held: Vec<(String, Bytes)>,
 }
@@ -87,6 +92,7 @@
         let id = conn.filter(usable).or_else(|| same.next()).unwrap_or_else(|| self.dial(address));
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.held.push((branch.to_string(), bytes));
+            conn.used = clock::now();
         }
         self.flush(id);
         Peer::Tcp(address, Some(id))
@@ -100,11 +106,25 @@
 
     fn add(&mut self, address: SocketAddr, up: bool) -> ConnId {
         self.next += 1;
-        let conn = Conn { address, outbox: Rc::new(Outbox::default()), up, held: Vec::new() };
+        let (outbox, used) = (Rc::new(Outbox::default()), clock::now());
+        let conn = Conn { address, outbox, up, taken: up, used, held: Vec::new() };
         self.conns.insert(self.next, conn);
         self.next
     }
 
+    /// Makes room for one more connection; false if there is none. The one taken in that has been without use for
+    /// longest makes way: peers that say nothing must not keep others out, and what is still to be said to its peer
+    /// goes to the address in its Via (§18.2.2).
+    fn make_room(&mut self) -> bool {
+        if self.conns.values().filter(|c| c.outbox.is_open()).count() < CONNECTIONS_MOST {
+            return true;
+        }
+        let idle = self.conns.values().filter(|c| c.taken && c.outbox.is_open());
+        let Some(conn) = idle.min_by_key(|c| c.used) else { return false };
+        conn.outbox.close();
+        true
+    }
+
     fn flush(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id).filter(|c| c.up && c.outbox.is_empty()) else { return };
         for (_, bytes) in conn.held.drain(..) {
@@ -145,10 +165,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                if front.borrow().transport.conns.len() < CONNECTIONS_MOST {
+                if front.borrow_mut().transport.make_room() {
                     let id = front.borrow_mut().transport.add(from, true);
                     tokio::task::spawn_local(run(front.clone(), id, stream));
                 }
+                // What made way is closed before the next comes.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 clock::log(&format!("sip: accept: {e}"));
@@ -166,7 +188,13 @@
     };
     let on_bytes = |buffer: &mut BytesMut| loop {
         match message::next(buffer) {
-            Next::Message(message) => front.borrow_mut().received(Peer::Tcp(address, Some(id)), message),
+            Next::Message(message) => {
+                let mut front = front.borrow_mut();
+                if let Some(conn) = front.transport.conns.get_mut(&id) {
+                    conn.used = clock::now();
+                }
+                front.received(Peer::Tcp(address, Some(id)), message);
+            }
             Next::More => return true,
             Next::Broken => return false,
         }
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -592,3 +592,17 @@
     other.expect("INVITE");
     assert!(site.program.runs());
 }
+
+/// Peers that connect and say nothing do not keep others out: the longest unused connection makes way.
+#[test]
+fn silent_connections_make_way_for_new_callers() {
+    let (mut site, _, _) = standing(On::Tcp, "one");
+    let silent: Vec<_> = (0..300).map(|_| std::net::TcpStream::connect(site.gate).unwrap()).collect();
+    let mut caller = Agent::tcp(site.gate);
+    caller.invite("two");
+    caller.expect("SIP/2.0 100");
+    let invite = site.server.expect("INVITE");
+    site.server.answer(&invite, "200 OK", "far", "v=0\r\n");
+    caller.expect("SIP/2.0 200");
+    drop(silent);
+}
