--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 CONFIG ?= config.json
+MINUTES ?= 20
 
-.PHONY: build test lint run ci
+.PHONY: build test lint run ci soak
 
 build:
 	cargo build --release --locked
@@ -17,3 +18,7 @@
 
 ci:
 	bash .ci/run
+
+# Plays drawn days of the bench in turn; needs the kit. make soak MINUTES=20
+soak:
+	tools/soak $(MINUTES)
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -71,6 +71,8 @@
     bytes: Bytes,
     /// The ACK of its final response, where that was not a 2xx.
     ack: Option<Bytes>,
+    /// How often it has moved to another connection because its own ended.
+    moves: u32,
 }
 
 struct ServerTransaction {
@@ -232,7 +234,7 @@
         let bytes = request.to_bytes();
         let peer = self.transport.send(peer, &branch, bytes.clone());
         let machine = Client::new(now, method == "INVITE", peer.reliable(), self.times);
-        let transaction = ClientTransaction { machine, purpose, peer, request, bytes, ack: None };
+        let transaction = ClientTransaction { machine, purpose, peer, request, bytes, ack: None, moves: 0 };
         self.client_txns.insert((branch, method), transaction);
     }
 
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -13,10 +13,12 @@
 use super::message::{Message, address, uri_parts};
 use super::transaction::{Due, Heard, State};
 use super::transport::{ConnId, Peer};
-use super::{ALLOW, ClientKey, Front, Owner, Purpose};
+use super::{ALLOW, ClientKey, ClientTransaction, Front, Owner, Purpose};
 
 /// A probe that takes longer has failed.
 const PROBE_TIME: Micros = 250_000;
+/// A request moves to another connection this often at most: a peer that closes each one does not want it.
+const MOVES_MOST: u32 = 3;
 /// Repeats end this long before the drain window does: what is sent must also have arrived, and a busy machine
 /// may hold either side up.
 const WINDOW_MARGIN: Micros = 100_000;
@@ -294,6 +296,9 @@
     pub(super) fn conn_lost(&mut self, id: ConnId, came_up: bool, unsent: Vec<String>) {
         let of_conn = |peer: Peer| matches!(peer, Peer::Tcp(_, Some(conn)) if conn == id);
         let waiting = |s: State| matches!(s, State::Begun | State::Proceeding);
+        if came_up {
+            self.move_plain(|t| of_conn(t.peer) && waiting(t.machine.state));
+        }
         let lost: Vec<(AttemptId, String)> = self
             .client_txns
             .iter()
@@ -318,6 +323,23 @@
         }
     }
 
+    /// A connection ended under a BYE or CANCEL that has no answer: TCP repeats nothing by itself (§17.1.2.2), so it
+    /// goes out again on another connection. Guards against a release that crosses its peer's close: the peer would
+    /// take the call to stand for ever.
+    fn move_plain(&mut self, lost: impl Fn(&ClientTransaction) -> bool) {
+        for transaction in self.client_txns.values_mut() {
+            let moves = transaction.purpose == Purpose::Plain && transaction.moves < MOVES_MOST;
+            if let Peer::Tcp(address, _) = transaction.peer
+                && moves
+                && lost(transaction)
+            {
+                transaction.moves += 1;
+                let bytes = transaction.bytes.clone();
+                transaction.peer = self.transport.send(Peer::Tcp(address, None), "", bytes);
+            }
+        }
+    }
+
     /// Nothing listens at an address: the process of the server there has ended, and what it held with it.
     pub(super) fn refused(&mut self, address: SocketAddr) {
         let server = self.directory.servers().find(|s| self.directory.address(*s) == Some(address));
--- a/tests/peers/sip.rs
+++ b/tests/peers/sip.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::PATIENCE;
+use super::{PATIENCE, eventually};
 
 /// A message as it came, with the time.
 #[derive(Clone, Debug)]
@@ -100,7 +100,10 @@
     }
 
     pub fn accept(listener: &TcpListener) -> Agent {
-        Agent::on(listener.accept().unwrap().0, Some(listener.local_addr().unwrap()))
+        listener.set_nonblocking(true).unwrap();
+        let stream = eventually("a connection comes", || listener.accept().ok()).0;
+        stream.set_nonblocking(false).unwrap();
+        Agent::on(stream, Some(listener.local_addr().unwrap()))
     }
 
     fn on(stream: TcpStream, own: Option<SocketAddr>) -> Agent {
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -362,6 +362,43 @@
     assert_eq!(back.expect("SIP/2.0 200").get("Call-ID"), "c17");
 }
 
+/// A TCP connection closes under a BYE: nothing repeats it there, so it goes out again on another connection, and once
+/// it is answered no more.
+#[rstest]
+#[case::towards_the_caller(true)]
+#[case::towards_the_server(false)]
+fn a_bye_moves_on_when_its_connection_closes(#[case] to_caller: bool) {
+    let (listener, at) = listen();
+    let (mut site, _, _) = standing(On::Tcp, "c18");
+    let mut caller = Agent::tcp(site.gate);
+    caller.own = at;
+    caller.invite("c19");
+    let invite = site.server.expect("INVITE");
+    site.server.answer(&invite, "200 OK", "far", "v=0\r\n");
+    let ok = caller.expect("SIP/2.0 200");
+    caller.in_dialog(&ok, "ACK", 1);
+    let (bye, back) = if to_caller {
+        site.server.bye_from_server(&invite, "far");
+        let bye = caller.expect("BYE");
+        drop(caller); // and has not answered it
+        (bye, listener)
+    } else {
+        caller.in_dialog(&ok, "BYE", 2);
+        let bye = site.server.expect("BYE");
+        drop(std::mem::replace(&mut site.server, Agent::udp(site.gate)));
+        (bye, site.listener.take().unwrap())
+    };
+    let mut again = Agent::accept(&back);
+    let moved = again.expect("BYE");
+    assert_eq!((moved.get("Via"), moved.get("CSeq")), (bye.get("Via"), bye.get("CSeq")), "the same request");
+    again.answer(&moved, "200 OK", "", "");
+    site.resolver.asked_anew();
+    drop(again);
+    site.resolver.asked_anew();
+    back.set_nonblocking(true).unwrap();
+    assert!(back.accept().is_err(), "it was answered");
+}
+
 /// One program may have both fronts; each has its own callers, servers and calls.
 #[test]
 fn both_fronts_in_one_program() {
