Read the operators' file and refuse limits that break a rule, with place and remedy

Need: time-outs, attempts and pauses stand in settings that nobody checks; a misspelt key, 40 attempts or a release wait of 1 us pass. Operators want them by route and class, with any setting that breaks a rule refused when the file is read.

Change: src/ops reads the file (jsonc-parser, for JSON with comments with the place of each value and a bound on nesting; serde with serde_path_to_error, so that one fault does not hide the next: the faulty node is taken out and the rest decoded again; annotate-snippets draws; schemars makes the schema; humantime reads spans). src/limits, pure: routes by class, pool and prefix in a radix trie, overlaps without a narrower route refused unless a third settles them; each combination of route, class and ceilings compiled and checked, a conflict naming all places that make it up. An error is what can never happen on any path; what is cut short where all tries time out is a warning. check-config, explain, schema. Not yet in the core: serve takes the file, refuses a bad one and uses its log section only.

--- a/src/bin/cobaltspool-benchlink/main.rs
+++ b/src/bin/cobaltspool-benchlink/main.rs
@@ -49,6 +49,7 @@
         resend_after: profile.domain.resend_us,
         tick: profile.tick_us,
         max_attempts: limits.max_attempts,
+        second_copies: limits.second_copies,
         may_cancel: limits.cancel,
         may_probe: limits.probes,
         may_message: limits.peers,
--- a/src/bin/cobaltspool-benchlink/wire.rs
+++ b/src/bin/cobaltspool-benchlink/wire.rs
@@ -189,6 +189,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Ceilings {
+    #[serde(default)]
+    pub second_copies: bool,
     #[serde(default)]
     pub cancel: bool,
     #[serde(default)]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::{OptionParser, Parser, construct, long, pure};
 
@@ -15,15 +16,52 @@
     pub sip: Option<PathBuf>,
 }
 
+/// How a command's output is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Format, String> {
+        match text {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            other => Err(format!("'{other}' is no format; write text or json")),
+        }
+    }
+}
+
+/// The call that `explain` is asked about.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Its class.
+    pub class: String,
+    /// The number called.
+    pub number: String,
+    /// Its pool of first choice; -1: none.
+    pub pool: i64,
+}
+
 /// What the program is asked to do.
 #[derive(Clone, Debug)]
 pub enum Task {
     /// Run a gatekeeper.
-    Serve(Fronts, log::Settings),
+    Serve(Fronts, Option<PathBuf>, log::Settings),
     /// Say which version this is.
     Version,
-    /// Read the configuration and say what is in it.
-    CheckConfig(Fronts),
+    /// Read the files and say what is in them and what is wrong with them.
+    CheckConfig(Fronts, Option<PathBuf>, Format),
+    /// Say what holds for a call, and where each value comes from.
+    Explain(Fronts, PathBuf, Asked, Format),
+    /// Print the operators' file's JSON Schema.
+    Schema,
 }
 
 fn fronts() -> impl Parser<Fronts> {
@@ -37,7 +75,16 @@
         .argument::<PathBuf>("FILE")
         .optional();
     construct!(Fronts { config, sip })
-        .guard(|f| f.config.is_some() || f.sip.is_some(), "give --config (or LB_CONFIG), --sip, or both")
+}
+
+fn ops() -> impl Parser<PathBuf> {
+    long("ops")
+        .help("the operators' file: JSON with comments, as deploy/cobaltspool.json5")
+        .argument::<PathBuf>("FILE")
+}
+
+fn format() -> impl Parser<Format> {
+    long("format").help("text, or json for programs").argument::<Format>("FORM").fallback(Format::Text)
 }
 
 fn logging() -> impl Parser<log::Settings> {
@@ -49,24 +96,50 @@
     let form = long("log-format")
         .help("text, or json for one object a line")
         .argument::<log::Form>("FORM")
-        .fallback(log::Form::Text);
+        .optional();
     construct!(log::Settings { levels, form })
 }
 
 /// The parser of the command line.
 pub fn parser() -> OptionParser<Task> {
-    let (of_serve, log) = (fronts(), logging());
-    let serve = construct!(Task::Serve(of_serve, log))
+    let some = |f: &Fronts| f.config.is_some() || f.sip.is_some();
+    let of_serve = fronts().guard(some, "give --config (or LB_CONFIG), --sip, or both");
+    let (ops_of_serve, log) = (ops().optional(), logging());
+    let serve = construct!(Task::Serve(of_serve, ops_of_serve, log))
         .to_options()
         .descr("Runs a gatekeeper until it is told to stop")
+        .footer("Example: cobaltspool serve --sip deploy/sip.json --ops deploy/cobaltspool.json5")
         .command("serve");
     let version = pure(Task::Version).to_options().descr("Prints the version").command("version");
-    let check = fronts()
-        .map(Task::CheckConfig)
+    let (of_check, ops_of_check, format_of_check) = (fronts(), ops().optional(), format());
+    let check = construct!(Task::CheckConfig(of_check, ops_of_check, format_of_check))
+        .guard(
+            move |t| matches!(t, Task::CheckConfig(f, ops, _) if some(f) || ops.is_some()),
+            "give --config, --sip, --ops, or several",
+        )
         .to_options()
-        .descr("Reads a configuration and says what is in it")
+        .descr("Reads configurations and says what is in them and what is wrong with them")
+        .footer(
+            "Example: cobaltspool check-config --ops deploy/cobaltspool.json5. Status: 0 accepted, 1 refused",
+        )
         .command("check-config");
-    construct!([serve, version, check])
+    let class = long("class").help("the call's class").argument::<String>("NAME");
+    let number = long("number").help("the number called").argument::<String>("NUMBER");
+    let pool = long("pool").help("its pool of first choice").argument::<i64>("N").fallback(-1);
+    let asked = construct!(Asked { class, number, pool });
+    let (of_explain, ops_of_explain, format_of_explain) = (fronts(), ops(), format());
+    let explain = construct!(Task::Explain(of_explain, ops_of_explain, asked, format_of_explain))
+        .to_options()
+        .descr("Says what holds for a call of such a class and number, and where each value comes from")
+        .footer(
+            "Example: cobaltspool explain --ops deploy/cobaltspool.json5 --class check-setup --number 385",
+        )
+        .command("explain");
+    let schema = pure(Task::Schema)
+        .to_options()
+        .descr("Prints a JSON Schema of the operators' file, for editors")
+        .command("schema");
+    construct!([serve, version, check, explain, schema])
         .to_options()
         .descr("A gatekeeper that sets calls up at shared servers and keeps them from being overrun")
 }
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,186 @@
+//! What the sub-commands print that do not serve: checks and explanations. Each gives its output and whether all is
+//! well.
+
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+
+use crate::cli::{Asked, Format, Fronts};
+use crate::config::{self, Config, SipConfig};
+use crate::limits::units::Span;
+use crate::limits::{Ceilings, Limits, Origin, Plan, Sourced};
+use crate::ops::{self, Report};
+
+/// The fronts' configurations, as far as they are asked for.
+pub type Configs = (Option<Config>, Option<SipConfig>);
+
+/// Reads the fronts' configurations.
+pub fn read(fronts: &Fronts) -> Result<Configs, String> {
+    let config = fronts.config.as_deref().map(|p| decoded(p, config::decode)).transpose()?;
+    let sip = fronts.sip.as_deref().map(|p| decoded(p, config::decode_sip)).transpose()?;
+    Ok((config, sip))
+}
+
+/// Reads one file; what is wrong with it is said in one line.
+fn decoded<T>(path: &Path, decode: fn(&str) -> Result<T, String>) -> Result<T, String> {
+    let named = |e: String| format!("{}: {}", path.display(), e.replace('\n', " "));
+    let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+    decode(&text).map_err(named)
+}
+
+/// What each front's installation permits; one that permits nothing known where there is no front.
+pub fn ceilings((config, sip): &Configs) -> Vec<Ceilings> {
+    let platform = config.as_ref().map(Config::ceilings);
+    let mut all: Vec<Ceilings> = platform.into_iter().chain(sip.as_ref().map(SipConfig::ceilings)).collect();
+    if all.is_empty() {
+        all.push(Ceilings::default());
+    }
+    all
+}
+
+/// Checks the files.
+pub fn check(fronts: &Fronts, ops_file: Option<&PathBuf>, format: Format) -> (String, bool) {
+    let configs = match read(fronts) {
+        Ok(configs) => configs,
+        Err(e) if format == Format::Json => {
+            return (json!({"error": e, "accepted": false}).to_string(), false);
+        }
+        Err(e) => return (format!("error: {e}\n"), false),
+    };
+    let mut reports: Vec<Report> = Vec::new();
+    for ceilings in ops_file.iter().flat_map(|_| ceilings(&configs)) {
+        let report = match ops_file.map(|file| ops::read(file, &ceilings)) {
+            Some(Ok(ops)) => ops.report,
+            Some(Err(report)) => report,
+            None => continue,
+        };
+        if !reports.contains(&report) {
+            reports.push(report);
+        }
+    }
+    let accepted = !reports.iter().any(|r| r.refused);
+    if format == Format::Json {
+        return (json!({"accepted": accepted, "reports": reports}).to_string() + "\n", accepted);
+    }
+    let mut out = summary(&configs);
+    for report in &reports {
+        out.push_str(&report.render());
+    }
+    if let Some(file) = ops_file {
+        let verdict = if accepted { "accepted" } else { "refused" };
+        out.push_str(&format!("{}: {verdict}\n", file.display()));
+    }
+    (out, accepted)
+}
+
+fn summary((config, sip): &Configs) -> String {
+    let mut out = String::new();
+    if let Some(c) = config {
+        let (classes, lists) = (c.classes.join(", "), c.known.len());
+        out.push_str(&format!(
+            "{}: listens on {}, resolver {}, {lists} list events, classes: {classes}\n",
+            c.name, c.listen, c.dns
+        ));
+    }
+    if let Some(c) = sip {
+        out.push_str(&format!(
+            "{}: SIP on udp {} and tcp {}, servers of {} at {}\n",
+            c.name, c.udp, c.tcp, c.service, c.dns
+        ));
+    }
+    out
+}
+
+/// Says what holds for a call.
+pub fn explain(fronts: &Fronts, file: &Path, asked: &Asked, format: Format) -> (String, bool) {
+    let configs = match read(fronts) {
+        Ok(configs) => configs,
+        Err(e) => return (format!("error: {e}\n"), false),
+    };
+    let mut out = String::new();
+    for ceilings in ceilings(&configs) {
+        let ops = match ops::read(file, &ceilings) {
+            Ok(ops) => ops,
+            Err(report) if format == Format::Json => {
+                return (json!({"accepted": false, "reports": [report]}).to_string() + "\n", false);
+            }
+            Err(report) => return (report.render(), false),
+        };
+        if let Some(known) = &ceilings.classes
+            && !known.iter().any(|c| c.name == asked.class)
+        {
+            let names: Vec<&str> = known.iter().map(|c| c.name.as_str()).collect();
+            return (
+                format!("error: there is no class '{}'; write one of {}\n", asked.class, names.join(", ")),
+                false,
+            );
+        }
+        out.push_str(&explained(&ops.plan, asked, format));
+    }
+    (out, true)
+}
+
+fn explained(plan: &Plan, asked: &Asked, format: Format) -> String {
+    let route = plan.route(&asked.class, asked.pool, &asked.number);
+    let limits = plan.compile(route, Some(&asked.class));
+    let mut rows = per_call(&limits);
+    for (origin, terms) in plan.levels(route, Some(&asked.class)) {
+        let mut cap = |name: &str, value: Option<String>| {
+            rows.extend(value.map(|value| (name.to_string(), value, origin.clone())));
+        };
+        cap("open_calls", terms.open_calls.map(|n| n.to_string()));
+        cap("rate", terms.rate.map(|r| format!("{} a second, {} at once", r.per_second, r.burst_most())));
+        cap(
+            "retry_budget",
+            terms
+                .retry_budget
+                .map(|b| format!("{} of the fresh calls in {}, {} free", b.share, b.window, b.least)),
+        );
+    }
+    let name = route.map_or("none", |n| plan.section.routes[n].name.as_str());
+    if format == Format::Json {
+        let limits: Vec<Value> = rows
+            .iter()
+            .map(|(setting, value, from)| {
+                let path = from.path(setting).map(|p| p.to_string());
+                json!({"setting": setting, "value": value, "from": from.to_string(), "path": path})
+            })
+            .collect();
+        return json!({"route": name, "limits": limits}).to_string() + "\n";
+    }
+    let mut out = format!("route: {name}\n");
+    for (setting, value, from) in rows {
+        out.push_str(&format!("{setting:<16} {value:<58} {from}\n"));
+    }
+    out
+}
+
+type Row = (String, String, Origin);
+
+fn per_call(limits: &Limits) -> Vec<Row> {
+    fn row<T>(name: &str, sourced: &Sourced<T>, write: impl Fn(&T) -> String) -> Row {
+        (name.to_string(), write(&sourced.value), sourced.from.clone())
+    }
+    let span = |micros: &u64| Span(*micros).to_string();
+    vec![
+        row("time_out", &limits.time_out, |t| {
+            t.map_or("as long as the caller waits".into(), |t| t.to_string())
+        }),
+        row("attempts", &limits.attempts, u32::to_string),
+        row("pause.timed_out", &limits.timed_out, span),
+        row("pause.reset", &limits.reset, span),
+        row("pause.cancelled", &limits.cancelled, span),
+        row("pause.full", &limits.full, span),
+        row("back_off", &limits.back_off, |b| {
+            b.map_or("none".into(), |b| {
+                format!("{} times {} each time up to {}, {} of it drawn", b.first, b.factor, b.most, b.jitter)
+            })
+        }),
+        row("come_back", &limits.come_back, |c| {
+            c.map_or("as the limit that is met says".into(), |c| format!("{} to {}", c.least, c.most))
+        }),
+        row("second_copies", &limits.second_copies, |s| {
+            s.map_or("none".into(), |s| format!("after {}", Span(s)))
+        }),
+    ]
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 
 use tinyjson::JsonValue;
 
+use crate::limits::Ceilings;
 use crate::list::Listed;
 use crate::{Class, ListScope, Micros, PoolId, Rules, Settings, Status};
 
@@ -31,8 +32,8 @@
     pub classes: Vec<String>,
     /// Connections to servers are bounded by this.
     pub dial_timeout: Micros,
-    /// The longest time that a caller waits.
-    pub longest_wait: Micros,
+    /// The longest time that a class's callers wait, by its place in the settings.
+    pub patience: Vec<Micros>,
 }
 
 /// What the SIP front is told.
@@ -66,6 +67,20 @@
 /// A JSON object, read by key. Errors name the key.
 pub struct Object<'a>(&'a HashMap<String, JsonValue>);
 
+impl Config {
+    /// What the installation permits.
+    pub fn ceilings(&self) -> Ceilings {
+        Ceilings::of(&self.settings, &self.classes, &self.patience, true)
+    }
+}
+
+impl SipConfig {
+    /// What the installation permits.
+    pub fn ceilings(&self) -> Ceilings {
+        Ceilings::of(&self.settings, &self.classes, &vec![self.wait; self.classes.len()], false)
+    }
+}
+
 impl<'a> Object<'a> {
     /// Takes a value that must be an object.
     pub fn of(value: &'a JsonValue, what: &str) -> Result<Self, String> {
@@ -124,7 +139,7 @@
     let seed = u64::from_str_radix(top.text("seed")?, 16).map_err(|_| "'seed' is not hexadecimal")?;
     let settings = top.object("settings")?;
     let known = top.object("known")?;
-    let (classes, longest_wait) = class_names(&settings)?;
+    let (classes, patience) = class_names(&settings)?;
     Ok(Config {
         name: top.text("name")?.to_string(),
         listen: top.address("listen")?,
@@ -136,7 +151,7 @@
         settings: decode_settings(&settings)?,
         classes,
         dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
-        longest_wait,
+        patience,
     })
 }
 
@@ -145,7 +160,8 @@
     let json: JsonValue = text.parse().map_err(|e| format!("not JSON: {e}"))?;
     let top = Object::of(&json, "the configuration")?;
     let settings = top.object("settings")?;
-    let (classes, longest_wait) = class_names(&settings)?;
+    let (classes, patience) = class_names(&settings)?;
+    let longest_wait = patience.iter().copied().max().unwrap_or(0);
     let or = |given: u64, default: u64| if given > 0 { given } else { default };
     let service = top.text("service")?;
     if !service.split('.').any(|label| label == "_udp" || label == "_tcp") {
@@ -166,15 +182,15 @@
     })
 }
 
-/// The classes' names, and the longest time that a caller waits.
-fn class_names(settings: &Object) -> Result<(Vec<String>, Micros), String> {
-    let (mut names, mut longest) = (Vec::new(), 0);
+/// The classes' names, and the longest time that their callers wait.
+fn class_names(settings: &Object) -> Result<(Vec<String>, Vec<Micros>), String> {
+    let (mut names, mut patience) = (Vec::new(), Vec::new());
     for service in settings.list("services")? {
         let service = Object::of(service, "a service")?;
         names.push(service.text("name")?.to_string());
-        longest = longest.max(service.count("hard-limit-us")?);
+        patience.push(service.count("hard-limit-us")?);
     }
-    if names.is_empty() { Err("'services' is missing or empty".to_string()) } else { Ok((names, longest)) }
+    if names.is_empty() { Err("'services' is missing or empty".to_string()) } else { Ok((names, patience)) }
 }
 
 fn decode_settings(settings: &Object) -> Result<Settings, String> {
@@ -201,6 +217,7 @@
         resend_after: domain.count("resend-us")?,
         tick: settings.count("tick-us")?,
         max_attempts: limits.count("max-attempts")? as u32,
+        second_copies: limits.flag("second-copies"),
         may_cancel: limits.flag("cancel"),
         may_probe: limits.flag("probes"),
         may_message: limits.flag("peers"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,8 @@
     pub tick: Micros,
     /// Most attempts for one call.
     pub max_attempts: u32,
+    /// A call may have two attempts out at once.
+    pub second_copies: bool,
     /// Attempts may be cancelled.
     pub may_cancel: bool,
     /// Servers may be probed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,14 +38,17 @@
 
 pub mod cli;
 pub mod clock;
+pub mod commands;
 pub mod config;
 mod decide;
 pub mod gateway;
 mod host;
 mod interface;
+pub mod limits;
 mod link;
 pub mod list;
 pub mod log;
+pub mod ops;
 pub mod platform;
 mod record;
 pub mod sip;
--- a/src/log.rs
+++ b/src/log.rs
@@ -27,7 +27,8 @@
 const PERIOD: Duration = Duration::from_secs(1);
 
 /// How lines are written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, schemars::JsonSchema)]
+#[serde(rename_all = "lowercase")]
 pub enum Form {
     /// For people.
     #[default]
@@ -36,6 +37,22 @@
     Json,
 }
 
+impl<'de> serde::Deserialize<'de> for Levels {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Levels, D::Error> {
+        String::deserialize(deserializer)?.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+impl schemars::JsonSchema for Levels {
+    fn schema_name() -> std::borrow::Cow<'static, str> {
+        "Levels".into()
+    }
+
+    fn json_schema(generator: &mut schemars::SchemaGenerator) -> schemars::Schema {
+        String::json_schema(generator)
+    }
+}
+
 impl FromStr for Form {
     type Err = String;
 
@@ -53,8 +70,16 @@
 pub struct Settings {
     /// Levels, by target where they differ: `info`, or `info,call=debug`. Nothing: `info`.
     pub levels: Option<Levels>,
-    /// How they are written.
-    pub form: Form,
+    /// How they are written; nothing: as text.
+    pub form: Option<Form>,
+}
+
+impl Settings {
+    /// These, or where they say nothing the others.
+    #[must_use]
+    pub fn or(self, other: Settings) -> Settings {
+        Settings { levels: self.levels.or(other.levels), form: self.form.or(other.form) }
+    }
 }
 
 /// Levels by target.
@@ -81,7 +106,7 @@
     let (writer, guard) = queue.finish(io::stderr());
     let lines =
         tracing_subscriber::fmt::layer().with_ansi(false).with_writer(writer).log_internal_errors(false);
-    let lines = match settings.form {
+    let lines = match settings.form.unwrap_or_default() {
         Form::Text => lines.boxed(),
         Form::Json => lines.json().flatten_event(true).boxed(),
     };
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,33 +5,34 @@
 use std::process::ExitCode;
 
 use cobaltspool::cli::{self, Fronts, Task};
-use cobaltspool::config::{self, Config, SipConfig};
+use cobaltspool::commands::{self, Configs, read};
+use cobaltspool::limits::Ceilings;
+use cobaltspool::ops::{self, Ops};
 use cobaltspool::{log, platform, sip};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 fn main() -> ExitCode {
+    let print = |(text, well): (String, bool)| {
+        print!("{text}");
+        if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    };
     let done = match cli::parser().run() {
-        Task::Serve(fronts, log) => log::start(log).and_then(|_guard| serve(&fronts)),
+        Task::Serve(fronts, ops, log) => start(&fronts, ops.as_deref(), log),
         Task::Version => {
             println!("cobaltspool {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Task::CheckConfig(fronts) => read(&fronts).map(|(config, sip)| {
-            if let Some(c) = config {
-                let (classes, lists) = (c.classes.join(", "), c.known.len());
-                println!(
-                    "{}: listens on {}, resolver {}, {lists} list events, classes: {classes}",
-                    c.name, c.listen, c.dns
-                );
-            }
-            if let Some(c) = sip {
-                println!(
-                    "{}: SIP on udp {} and tcp {}, servers of {} at {}",
-                    c.name, c.udp, c.tcp, c.service, c.dns
-                );
-            }
-        }),
+        Task::CheckConfig(fronts, ops, format) => {
+            return print(commands::check(&fronts, ops.as_ref(), format));
+        }
+        Task::Explain(fronts, ops, asked, format) => {
+            return print(commands::explain(&fronts, &ops, &asked, format));
+        }
+        Task::Schema => {
+            println!("{}", cobaltspool::ops::schema());
+            Ok(())
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -42,17 +43,25 @@
     }
 }
 
-fn read(fronts: &Fronts) -> Result<(Option<Config>, Option<SipConfig>), String> {
-    let config = fronts.config.as_deref().map(|p| decoded(p, config::decode)).transpose()?;
-    let sip = fronts.sip.as_deref().map(|p| decoded(p, config::decode_sip)).transpose()?;
-    Ok((config, sip))
+/// Reads the operators' file, if there is one, against what each front's installation permits.
+fn read_ops(path: Option<&Path>, configs: &Configs) -> Result<Vec<Ops>, String> {
+    let Some(path) = path else { return Ok(Vec::new()) };
+    let read = |ceilings: &Ceilings| {
+        ops::read(path, ceilings)
+            .map_err(|report| format!("{} is refused\n{}", path.display(), report.render()))
+    };
+    commands::ceilings(configs).iter().map(read).collect()
 }
 
-/// Reads one file; what is wrong with it is said in one line.
-fn decoded<T>(path: &Path, decode: fn(&str) -> Result<T, String>) -> Result<T, String> {
-    let named = |e: String| format!("{}: {}", path.display(), e.replace('\n', " "));
-    let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
-    decode(&text).map_err(named)
+fn start(fronts: &Fronts, ops: Option<&Path>, log: log::Settings) -> Result<(), String> {
+    let configs = read(fronts)?;
+    let ops = read_ops(ops, &configs)?;
+    let written = ops.first().map(|o| o.log.clone()).unwrap_or_default();
+    let _guard = log::start(log.or(written))?;
+    for finding in ops.iter().flat_map(|o| &o.report.findings) {
+        tracing::warn!(rule = finding.rule, at = %finding.places.first().map_or("", |p| &p.path), "{}", finding.text);
+    }
+    serve(fronts)
 }
 
 fn serve(fronts: &Fronts) -> Result<(), String> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -76,10 +76,11 @@
         let host = Host::new(Gateway::new(config.settings.clone(), config.seed));
         let record = host.record.clone();
         let classes = config.classes.clone();
+        let longest_wait = config.patience.iter().copied().max().unwrap_or(0);
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
                 host,
-                clients: Clients::new(classes, config.longest_wait, config.sockets / 2, record),
+                clients: Clients::new(classes, longest_wait, config.sockets / 2, record),
                 servers: Servers::new(config.dial_timeout, config.seed),
                 directory: Directory::default(),
                 me: me.clone(),
--- /dev/null
+++ b/tests/ops_files.rs
@@ -0,0 +1,111 @@
+//! Files of the operators', good and bad, each told on its first lines what is to be found in it.
+//!
+//! `// rule:` the finding's rule, `// says:` words of it, `// line:` where its main place stands, `// places:` how many
+//! places make it up at least, `// warns:` a warning's rule; `// attempts:`, `// second-copies:` and `// numbers:` set
+//! what the installation permits.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use cobaltspool::limits::{Ceilings, ClassInfo};
+use cobaltspool::ops::{self, Weight};
+use rstest::rstest;
+
+/// What stands on the first lines.
+fn told(text: &str) -> BTreeMap<&str, &str> {
+    text.lines().map_while(|l| l.strip_prefix("// ")).filter_map(|l| l.split_once(": ")).collect()
+}
+
+fn ceilings(told: &BTreeMap<&str, &str>) -> Ceilings {
+    let class = |name: &str, patience, repeatable, pools| ClassInfo {
+        name: name.to_string(),
+        patience,
+        repeatable,
+        pools: Some(pools),
+    };
+    Ceilings {
+        attempts: told.get("attempts").map_or(4, |n| n.parse().unwrap()),
+        release_wait: 500_000,
+        second_copies: Some(told.get("second-copies") == Some(&"allowed")),
+        come_back: 6_000_000,
+        classes: Some(vec![
+            class("voice", 9_000_000, true, vec![1, 2]),
+            class("order", 3_000_000, false, vec![2, 3]),
+        ]),
+        hex_numbers: told.get("numbers") == Some(&"hex"),
+    }
+}
+
+#[rstest]
+fn a_bad_file_is_refused_with_its_line_and_cause(#[files("tests/limits/bad/*.json5")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let told = told(&text);
+    let report = ops::read(&path, &ceilings(&told)).expect_err("it is refused");
+    let rule = told["rule"];
+    let fits = |f: &&ops::finding::Located| {
+        f.weight == Weight::Error && f.rule == rule && f.text.contains(told.get("says").unwrap_or(&""))
+    };
+    let found = report.findings.iter().find(fits);
+    let found = found.unwrap_or_else(|| panic!("{rule} is not among {:#?}", report.findings));
+    assert!(!found.remedy.is_empty());
+    if let Some(line) = told.get("line") {
+        assert_eq!(found.places[0].line, line.parse::<usize>().unwrap(), "{found:#?}");
+    }
+    let places = told.get("places").map_or(1, |n| n.parse().unwrap());
+    assert!(found.places.len() >= places, "{found:#?}");
+    let drawn = report.render();
+    assert!(drawn.contains(&found.text) && drawn.contains(&found.remedy), "{drawn}");
+    assert!(drawn.contains(&format!(":{}:{}", found.places[0].line, found.places[0].column)), "{drawn}");
+}
+
+#[rstest]
+fn a_good_file_is_accepted(#[files("tests/limits/good/*.json5")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let told = told(&text);
+    let ops = ops::read(&path, &ceilings(&told)).unwrap_or_else(|report| panic!("{}", report.render()));
+    let warnings: Vec<&str> = ops.report.findings.iter().map(|f| f.rule).collect();
+    let wanted: Vec<&str> = told.get("warns").copied().into_iter().collect();
+    assert_eq!(warnings, wanted, "{:#?}", ops.report.findings);
+}
+
+#[test]
+fn all_findings_come_in_one_go() {
+    let text = "{log: {level: \"loud\"},\n limits: {default: {attempts: 9, time_out: 5},\n classes: {voice: {nope: 1}}, x: 1},\n y: 2}";
+    let report = ops::read_text("many", text, &Ceilings::default()).unwrap_err();
+    let lines: Vec<usize> = report.findings.iter().map(|f| f.places[0].line).collect();
+    assert_eq!(lines, [1, 2, 3, 3, 4], "{:#?}", report.findings);
+}
+
+#[rstest]
+#[case::empty(b"".to_vec(), "json")]
+#[case::blank(b" \n\t".to_vec(), "json")]
+#[case::not_utf8(b"{limits: {}}\n\n// \xff".to_vec(), "utf-8")]
+#[case::deep([vec![b'['; 10_000], vec![b']'; 10_000]].concat(), "json")]
+#[case::deep_objects("{a:".repeat(10_000).into_bytes(), "json")]
+#[case::huge(vec![b' '; 64 * 1024 * 1024], "size")]
+fn a_file_that_is_none_gets_one_clear_error(#[case] bytes: Vec<u8>, #[case] rule: &str) {
+    let path =
+        std::env::temp_dir().join(format!("cobaltspool-ops-{}-{rule}-{}", std::process::id(), bytes.len()));
+    std::fs::write(&path, bytes).unwrap();
+    let report = ops::read(&path, &Ceilings::default()).map(|_| ()).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(report.findings.len(), 1, "{:#?}", report.findings);
+    assert_eq!(report.findings[0].rule, rule);
+    assert!(report.render().contains(&report.findings[0].remedy));
+}
+
+#[test]
+fn a_missing_file_is_said_to_be_missing() {
+    let report =
+        ops::read(&PathBuf::from("/nowhere/ops.json5"), &Ceilings::default()).map(|_| ()).unwrap_err();
+    assert!(report.render().contains("cannot be read"), "{}", report.render());
+}
+
+#[test]
+fn the_example_passes_and_the_schema_knows_its_sections() {
+    let path = PathBuf::from("deploy/cobaltspool.json5");
+    let ops = ops::read(&path, &Ceilings::default()).unwrap_or_else(|report| panic!("{}", report.render()));
+    assert_eq!(ops.report.findings.len(), 0);
+    let schema: serde_json::Value = serde_json::from_str(&ops::schema()).unwrap();
+    assert!(schema["properties"]["limits"].is_object() && schema["properties"]["log"].is_object());
+}
