Put the operators' limits to work in the core, on both fronts and over reloads

Need: limits by route and class were read and checked, and held for no call.

Change: limits/live.rs, pure: levels (default, class, route) count open calls, tokens and repeats; a call holds the levels it was taken in by and lets go of them when the book drops it. Over a cap it is turned away in intake, with a wait from the bucket's refill that promises each token once. SIGHUP takes configuration and file whole or not at all; counts go on by name. Without a file nothing is counted.

Measured: 10,000 random schedules of calls, failures, ends, waits and reloads pass no cap, shorten no pause, try no call too often and hold nothing in the end; 11 stories with the real program on both fronts (time-out, attempts, open calls, rate, reload); all tests pass.

--- a/src/bin/cobaltspool-benchlink/main.rs
+++ b/src/bin/cobaltspool-benchlink/main.rs
@@ -184,6 +184,7 @@
                 first_choice: PoolId(dest as i64),
                 repeat,
                 in_transit: passing,
+                attempts: u32::MAX,
             },
             Msg::Inbox { origin_peer, msg, .. } => Event::Message {
                 from: origin_peer,
@@ -200,6 +201,8 @@
                     took: took_us,
                     over: ended,
                     load: load(&telemetry),
+                    rest: 0,
+                    again: true,
                 }
             }
             Msg::PingResult { server, ending, telemetry, .. } => Event::Load {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -162,6 +162,7 @@
     /// Worth less than its class: late or to a crowded number.
     lesser: bool,
     sends: u32,
+    sends_most: u32,
     /// An attempt may have run.
     ran: bool,
     tried: bool,
@@ -236,8 +237,8 @@
         self.run_intervals();
         match event {
             Event::List { scope, entries } => self.take_list(scope, entries),
-            Event::Call { call, class, number, due, first_choice, repeat, in_transit } => {
-                self.take_call(call, class, number, due, first_choice, repeat, in_transit, out)
+            Event::Call { call, class, number, due, first_choice, repeat, in_transit, attempts } => {
+                self.take_call(call, class, number, due, first_choice, repeat, in_transit, attempts, out)
             }
             Event::Stands { call, server, took, .. } => {
                 self.answered(call, server, Some(took));
@@ -246,8 +247,8 @@
                     self.end(call);
                 }
             }
-            Event::AttemptEnded { call, server, outcome, cause, took, over, load, .. } => {
-                self.attempt_ended(call, server, outcome, cause, took, over, load, out)
+            Event::AttemptEnded { call, server, outcome, cause, took, over, load, rest, again, .. } => {
+                self.attempt_ended(call, server, outcome, cause, took, over, load, rest, again, out)
             }
             Event::CallerGone { call } => self.end(call),
             Event::Load { server, answered, load } => {
@@ -434,7 +435,7 @@
         c.out.is_none()
             && self.now >= c.free_at
             && self.now + self.set.tick < c.due
-            && c.sends < self.set.max_attempts
+            && c.sends < c.sends_most
             && (!c.ran || self.set.classes.get(c.class).is_none_or(|k| k.repeatable))
             && s.status == Status::Up
             && (!self.cold(s) || s.cold_tokens >= 1.0)
@@ -546,6 +547,7 @@
         first_choice: PoolId,
         repeat: bool,
         in_transit: bool,
+        attempts: u32,
         out: &mut Vec<Action>,
     ) {
         self.arrived += 1;
@@ -573,6 +575,7 @@
             value: -(value * 1000.0) as i64,
             lesser: again || crowded,
             sends: 0,
+            sends_most: attempts.min(self.set.max_attempts),
             ran: false,
             tried: false,
             out: None,
@@ -599,6 +602,8 @@
         took: Micros,
         over: bool,
         load: LoadReport,
+        rest: Micros,
+        again: bool,
         out: &mut Vec<Action>,
     ) {
         let pending = self.servers.get(&server).is_some_and(|s| s.unanswered.contains_key(&call));
@@ -656,6 +661,9 @@
         c.ran |= !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         if matches!(outcome, Outcome::TimedOut | Outcome::Cut | Outcome::Cancelled) {
             c.free_at = now + self.set.rules.release_wait;
+        }
+        c.free_at = c.free_at.max(now + rest);
+        if c.free_at > now {
             self.wakes.insert((c.free_at, call));
         }
         c.latest = c.latest.max(c.free_at + target).min(c.due.saturating_sub(target));
@@ -670,7 +678,7 @@
             }
         }
         let c = &self.calls[&call];
-        if now + self.set.tick >= c.due || c.sends >= self.set.max_attempts || c.latest <= now {
+        if now + self.set.tick >= c.due || c.sends >= c.sends_most || c.latest <= now || !again {
             self.refuse(call, out);
         }
     }
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::limits::Held;
 use crate::{CallId, Micros, ServerId};
 
 /// An attempt that is out or whose call stands.
@@ -43,6 +44,8 @@
     pub wait_until: Micros,
     /// The caller's description; let go once it is not needed.
     pub description: Bytes,
+    /// What holds for it, and what counts it; let go with the call. `None`: it was turned away at once.
+    pub held: Option<Held>,
 }
 
 /// All calls that are open or stand.
@@ -62,7 +65,15 @@
         if self.calls.contains_key(&call) {
             return false;
         }
-        let entry = Entry { state: State::Open(None), name, due, attempts: 0, wait_until: 0, description };
+        let entry = Entry {
+            state: State::Open(None),
+            name,
+            due,
+            attempts: 0,
+            wait_until: 0,
+            description,
+            held: None,
+        };
         self.calls.insert(call, entry);
         self.dues.insert((due, call));
         true
@@ -93,9 +104,19 @@
         }
     }
 
+    /// Notes what holds for a call.
+    pub fn hold(&mut self, call: CallId, held: Held) {
+        if let Some(entry) = self.calls.get_mut(&call) {
+            entry.held = Some(held);
+        }
+    }
+
     /// Notes that an attempt is out.
     pub fn sent(&mut self, call: CallId, out: Out) {
         if let Some(entry) = self.calls.get_mut(&call) {
+            if let Some(held) = &entry.held {
+                held.sent(out.sent, out.number);
+            }
             entry.state = State::Open(Some(out));
             entry.attempts = out.number + 1;
             self.dues.insert((out.until, call));
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -2,11 +2,12 @@
 
 use super::book::State;
 use super::{AttemptId, Command, Gateway, SetUp};
+use crate::limits::Asked;
 use crate::{CallId, Event, Outcome};
 
 impl Gateway {
     pub(super) fn take_in(&mut self, set_up: SetUp, out: &mut Vec<Command>) {
-        let SetUp { call, name, class, number, first_choice, left, again, description } = set_up;
+        let SetUp { call, name, class, number, dialled, first_choice, left, again, description } = set_up;
         let due = self.now.saturating_add(left);
         let rests_until = self.book.rests_until(&name, self.now);
         if !self.book.open_call(call, name, due, description) {
@@ -21,6 +22,18 @@
         if class >= self.set.classes.len() {
             return self.fail(call, out);
         }
+        let asked = Asked { class, pool: first_choice.0, number: &dialled, left };
+        let held = match self.limits.take(self.now, asked) {
+            Ok(held) => held,
+            Err(refusal) => {
+                // A limit of the operators' is met: the module need not be asked, and nothing has run.
+                let (level, cap) = (refusal.level, refusal.cap);
+                out.push(Command::Note(format!("intake: call {} turned away: {cap} of {level}", call.0)));
+                return self.refuse(call, if self.set.may_advise_retry { refusal.wait } else { 0 }, out);
+            }
+        };
+        let attempts = held.limits.attempts.value;
+        self.book.hold(call, held);
         self.news.push_back(Event::Call {
             call,
             class,
@@ -29,6 +42,7 @@
             first_choice,
             repeat: again,
             in_transit: false,
+            attempts,
         });
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,9 +16,11 @@
 mod send;
 
 use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
 
 use bytes::Bytes;
 
+use crate::limits::{Live, Plan};
 use crate::{Action, CallId, Cause, Controller, Event, LoadReport, Micros, Number, Outcome, PoolId};
 use crate::{ListScope, ServerEntry, ServerId, Settings};
 
@@ -42,6 +44,8 @@
     pub class: usize,
     /// The number called.
     pub number: Number,
+    /// The same as it was dialled.
+    pub dialled: Box<str>,
     /// Pool of first choice.
     pub first_choice: PoolId,
     /// How long the caller waits from now on.
@@ -112,6 +116,8 @@
         /// When it was last heard.
         since: Micros,
     },
+    /// Other limits from now on.
+    Limits(Rc<Plan>),
     /// Time has passed; the next input is wanted by [`Gateway::next_due`].
     Tick,
     /// The program ends: every call is brought to its end now.
@@ -186,6 +192,7 @@
 pub struct Gateway {
     set: Settings,
     module: Controller,
+    limits: Live,
     book: book::Book,
     route: route::Route,
     timers: BTreeSet<(Micros, u64)>,
@@ -198,7 +205,14 @@
 impl Gateway {
     /// A gatekeeper that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
+        let limits = Live::bare(&set);
+        Gateway::with(set, limits, seed)
+    }
+
+    /// The same with limits by route and class.
+    pub fn with(set: Settings, limits: Live, seed: u64) -> Self {
         Gateway {
+            limits,
             module: Controller::new(set.clone(), seed),
             set,
             book: book::Book::default(),
@@ -230,6 +244,7 @@
             }
             Input::Lost { server, at } => self.lost(server, at, out),
             Input::Unheard { server, since } => self.unheard(server, since, out),
+            Input::Limits(plan) => self.limits.replace(self.now, plan),
             Input::Tick => {}
             Input::Close => return self.close(out),
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -2,6 +2,7 @@
 
 use super::book::Out;
 use super::{AttemptId, Command, Gateway};
+use crate::limits::Verdict;
 use crate::{CallId, Cause, Event, LoadReport, Micros, Outcome, ServerId};
 
 impl Gateway {
@@ -20,7 +21,9 @@
             Some("another attempt is out")
         } else if now < entry.wait_until {
             Some("the release wait is not over")
-        } else if self.set.max_attempts > 0 && number >= self.set.max_attempts {
+        } else if self.set.max_attempts > 0 && number >= self.set.max_attempts
+            || entry.held.as_ref().is_some_and(|held| number >= held.limits.attempts.value)
+        {
             Some("no attempts are left")
         } else if !self.route.open(server, now, grace) {
             Some("the server drains or is gone")
@@ -37,7 +40,9 @@
             }
             return;
         }
-        let until = entry.due.min(now.saturating_add(if time_out == 0 { Micros::MAX } else { time_out }));
+        let try_for = entry.held.as_ref().and_then(|held| held.try_for).unwrap_or(Micros::MAX);
+        let time_out = if time_out == 0 { try_for } else { time_out.min(try_for) };
+        let until = entry.due.min(now.saturating_add(time_out));
         let (left, description) = (until.saturating_sub(now), entry.description.clone());
         self.book.sent(call, Out { number, server, sent: now, until });
         out.push(Command::Send { attempt: AttemptId { call, number }, server, left, description });
@@ -79,6 +84,14 @@
         cause: Cause,
         load: LoadReport,
     ) {
+        let mut verdict = Verdict { rest: 0, again: true };
+        let now = self.now;
+        if let Some((entry, _)) = self.book.open_mut(call).filter(|_| !over) {
+            if let Some(held) = &entry.held {
+                verdict = self.limits.after(now, held, outcome, entry.attempts);
+            }
+            entry.wait_until = entry.wait_until.max(now.saturating_add(verdict.rest));
+        }
         self.news.push_back(Event::AttemptEnded {
             call,
             attempt: at.number,
@@ -88,6 +101,8 @@
             took: self.now.saturating_sub(at.sent),
             over,
             load,
+            rest: verdict.rest,
+            again: verdict.again,
         });
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -46,6 +46,7 @@
             name: name.into(),
             class: 0,
             number: Number(5),
+            dialled: "5".into(),
             first_choice: PoolId(0),
             left: 9_000 * MS,
             again: false,
--- a/src/host.rs
+++ b/src/host.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::Micros;
 use crate::clock;
 use crate::gateway::{Command, Gateway, Input};
+use crate::limits::Plan;
 use crate::record::Record;
 
 /// After SIGTERM, set-ups keep coming for a while: new connections for 0.4 s, requests on open ones 0.2 s more.
@@ -96,6 +97,20 @@
     }
 }
 
+/// The operators' limits, as they are from now on; `None`: there is no file.
+pub type Plans = watch::Receiver<Option<Rc<Plan>>>;
+
+/// Gives the core other limits when they change, for ever.
+pub async fn follow_plan<F: Front>(front: &RefCell<F>, mut plans: Plans) {
+    while plans.changed().await.is_ok() {
+        let plan = plans.borrow_and_update().clone();
+        if let Some(plan) = plan {
+            front.borrow_mut().feed(Input::Limits(plan));
+        }
+    }
+    std::future::pending().await
+}
+
 /// Runs a front's tasks until it is told to stop and has nothing left to do. `tasks` go on for ever.
 pub async fn run<F: Front>(front: Rc<RefCell<F>>, tasks: impl Future, stop: impl Future<Output = ()>) {
     let told = async {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -212,6 +212,8 @@
         repeat: bool,
         /// In transit from another front: only its first choice may take it.
         in_transit: bool,
+        /// Most attempts for this call; the settings' limit holds too.
+        attempts: u32,
     },
     /// An attempt's call stands.
     Stands {
@@ -240,6 +242,10 @@
         took: Micros,
         /// The call is over: nothing is owed for it.
         over: bool,
+        /// It rests for so long; the release wait holds too.
+        rest: Micros,
+        /// It may be tried again then.
+        again: bool,
         /// The server's load.
         load: LoadReport,
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 //!     first_choice: PoolId(0),
 //!     repeat: false,
 //!     in_transit: false,
+//!     attempts: 4,
 //! };
 //! front.handle(1_000, call, &mut out);
 //! assert!(out.iter().any(|a| matches!(a, Action::Attempt { call: CallId(1), server: ServerId(0), .. })));
@@ -42,7 +43,7 @@
 pub mod config;
 mod decide;
 pub mod gateway;
-mod host;
+pub mod host;
 mod interface;
 pub mod limits;
 mod link;
--- a/src/limits/check.rs
+++ b/src/limits/check.rs
@@ -331,6 +331,8 @@
     let Some(after) = limits.second_copies.value else { return };
     let Some(at) = limits.second_copies.from.path("second_copies") else { return };
     let leave = "leave second_copies out";
+    let text = "this version sends no second copies: the setting is checked and has no effect";
+    out.push(Finding::error("no-effect", at.clone(), text, leave).warning());
     if ceilings.second_copies == Some(false) {
         let text = "second copies, where the installation forbids two attempts at once";
         out.push(Finding::error("second-copies", at.clone(), text, leave));
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! `file` is the section as it stands in the file, `units` its spans and shares, `trie` finds a number's routes,
 //! `plan` compiles what holds for a route and class and tells where each value comes from, and `check` refuses what
-//! would break a rule. Nothing here does I/O or keeps a clock.
+//! would break a rule. `live` is the plan at work: who is taken in, and when a call may be tried again. Nothing here does I/O or keeps a clock.
 
 mod check;
 pub mod file;
+mod live;
 mod plan;
 pub mod trie;
 pub mod units;
 
 pub use check::faults;
+pub use live::{Asked, Held, Live, Refusal, Verdict};
 pub use plan::{ATTEMPTS_MOST, Ceilings, ClassInfo, Limits, Origin, PAUSE_LEAST, Plan, Sourced};
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,15 +3,19 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use cobaltspool::cli::{self, Fronts, Task};
 use cobaltspool::commands::{self, Configs, read};
-use cobaltspool::limits::Ceilings;
+use cobaltspool::limits::{Ceilings, Plan};
 use cobaltspool::ops::{self, Ops};
 use cobaltspool::{log, platform, sip};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+/// Gives a front other limits.
+type Plans = watch::Sender<Option<Rc<Plan>>>;
+
 fn main() -> ExitCode {
     let print = |(text, well): (String, bool)| {
         print!("{text}");
@@ -43,28 +47,45 @@
     }
 }
 
-/// Reads the operators' file, if there is one, against what each front's installation permits.
-fn read_ops(path: Option<&Path>, configs: &Configs) -> Result<Vec<Ops>, String> {
+/// Reads the operators' file, if there is one, against what each front's installation permits, in the fronts' order.
+fn read_ops(path: Option<&Path>, ceilings: &[Ceilings]) -> Result<Vec<Ops>, String> {
     let Some(path) = path else { return Ok(Vec::new()) };
     let read = |ceilings: &Ceilings| {
         ops::read(path, ceilings)
             .map_err(|report| format!("{} is refused\n{}", path.display(), report.render()))
     };
-    commands::ceilings(configs).iter().map(read).collect()
+    ceilings.iter().map(read).collect()
 }
 
-fn start(fronts: &Fronts, ops: Option<&Path>, log: log::Settings) -> Result<(), String> {
+fn start(fronts: &Fronts, file: Option<&Path>, log: log::Settings) -> Result<(), String> {
     let configs = read(fronts)?;
-    let ops = read_ops(ops, &configs)?;
+    let ceilings = commands::ceilings(&configs);
+    let ops = read_ops(file, &ceilings)?;
     let written = ops.first().map(|o| o.log.clone()).unwrap_or_default();
     let _guard = log::start(log.or(written))?;
+    warn_of(&ops);
+    serve(fronts, configs, &Operators { file, ceilings }, ops)
+}
+
+/// The operators' file and what it is checked against.
+struct Operators<'a> {
+    file: Option<&'a Path>,
+    ceilings: Vec<Ceilings>,
+}
+
+fn warn_of(ops: &[Ops]) {
     for finding in ops.iter().flat_map(|o| &o.report.findings) {
-        tracing::warn!(rule = finding.rule, at = %finding.places.first().map_or("", |p| &p.path), "{}", finding.text);
+        let at = finding.places.first().map_or("", |p| &p.path);
+        tracing::warn!(rule = finding.rule, at, "{}", finding.text);
     }
-    serve(fronts)
 }
 
-fn serve(fronts: &Fronts) -> Result<(), String> {
+fn serve(
+    fronts: &Fronts,
+    (config, sip): Configs,
+    operators: &Operators,
+    ops: Vec<Ops>,
+) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -72,7 +93,6 @@
         let signal = |kind| signal(kind).map_err(|e| e.to_string());
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let hup = signal(SignalKind::hangup())?;
-        let (config, sip) = read(fronts)?;
         let (stop, stopped) = watch::channel(false);
         tokio::task::spawn_local(async move {
             tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
@@ -84,44 +104,56 @@
         let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
         let dns = watch::Sender::new(config.as_ref().map_or(nobody, |c| c.dns));
         let sip_dns = watch::Sender::new(sip.as_ref().map_or(nobody, |c| c.dns));
+        // One plan a front, in the fronts' order.
+        let mut plans = ops.into_iter().map(|o| Rc::new(o.plan));
+        let plan = watch::Sender::new(config.as_ref().and_then(|_| plans.next()));
+        let sip_plan = watch::Sender::new(sip.as_ref().and_then(|_| plans.next()));
+        let limits: Vec<&Plans> = config.iter().map(|_| &plan).chain(sip.iter().map(|_| &sip_plan)).collect();
         let platform = async {
             let Some(config) = config else { return Ok(()) };
-            platform::serve(config, dns.subscribe(), told(stopped.clone())).await
+            platform::serve(config, dns.subscribe(), plan.subscribe(), told(stopped.clone())).await
         };
         let sip = async {
             let Some(config) = sip else { return Ok(()) };
-            sip::serve(config, sip_dns.subscribe(), told(stopped.clone())).await
+            sip::serve(config, sip_dns.subscribe(), sip_plan.subscribe(), told(stopped.clone())).await
         };
         tokio::select! {
             done = async { tokio::try_join!(platform, sip) } => done.map(|_| ()),
-            () = reload(fronts, hup, &dns, &sip_dns) => Ok(()),
+            () = reload(fronts, operators, hup, [&dns, &sip_dns], &limits) => Ok(()),
         }
     })
 }
 
-/// Reads the configuration again at each SIGHUP, for ever. The resolvers' addresses count from then on; the rest
-/// holds until the next start. A file that cannot be read changes nothing.
+/// Reads the files again at each SIGHUP, for ever. The resolvers' addresses and the operators' limits count from then
+/// on; the rest holds until the next start. It is all or nothing: a file that cannot be read, or has a finding that
+/// refuses it, changes nothing.
 async fn reload(
     fronts: &Fronts,
+    operators: &Operators<'_>,
     mut hup: Signal,
-    dns: &watch::Sender<SocketAddr>,
-    sip_dns: &watch::Sender<SocketAddr>,
+    dns: [&watch::Sender<SocketAddr>; 2],
+    limits: &[&Plans],
 ) {
     while hup.recv().await.is_some() {
-        let (config, sip) = match read(fronts) {
+        let read = read(fronts).and_then(|c| Ok((c, read_ops(operators.file, &operators.ceilings)?)));
+        let ((config, sip), ops) = match read {
             Ok(read) => read,
             Err(e) => {
                 tracing::error!(error = e, "reload: all stays as it was");
                 continue;
             }
         };
-        let resolvers = [(dns, config.map(|c| c.dns)), (sip_dns, sip.map(|c| c.dns))];
-        for (resolver, told) in resolvers {
+        for (resolver, told) in dns.into_iter().zip([config.map(|c| c.dns), sip.map(|c| c.dns)]) {
             if let Some(address) = told {
                 tracing::info!(resolver = %address, "reload");
                 resolver.send_if_modified(|held| std::mem::replace(held, address) != address);
             }
         }
+        warn_of(&ops);
+        for (front, ops) in limits.iter().zip(ops) {
+            tracing::info!(routes = ops.plan.section.routes.len(), "reload: limits");
+            front.send_replace(Some(Rc::new(ops.plan)));
+        }
     }
     std::future::pending().await
 }
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -289,7 +289,8 @@
         self.tags.insert(tag, call);
         let left = (left * 1000.0) as Micros;
         let name = tag.to_string().into();
-        Some(SetUp { call, name, class, number: number(&key), first_choice, left, again, description })
+        let (number, dialled) = (number(&key), key.into());
+        Some(SetUp { call, name, class, number, dialled, first_choice, left, again, description })
     }
 
     pub(super) fn answer(&mut self, call: CallId, description: &[u8]) {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,6 +18,7 @@
 use crate::config::Config;
 use crate::gateway::{Command, Gateway, Input};
 use crate::host::{self, Front as _, Host};
+use crate::limits::{Live, Plan};
 use crate::list::{Directory, Listed, resolver};
 use crate::{ListScope, Micros, Outcome};
 
@@ -43,20 +44,22 @@
 pub async fn serve(
     config: Config,
     resolver: watch::Receiver<SocketAddr>,
+    plan: host::Plans,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     tracing::info!(name = config.name, listen = %address, "serves");
-    let front = Front::start(&config);
+    let front = Front::start(&config, plan.borrow().clone());
     for (scope, list) in config.known.clone() {
         front.borrow_mut().take_list(clock::now(), scope, list);
     }
     let tasks = async {
         tokio::join!(
             clients::accept(front.clone(), listener),
-            follow_list(front.clone(), resolver, config.seq)
+            follow_list(front.clone(), resolver, config.seq),
+            host::follow_plan(&front, plan)
         )
     };
     host::run(front.clone(), tasks, stop).await;
@@ -72,8 +75,9 @@
 }
 
 impl Front {
-    fn start(config: &Config) -> Shared {
-        let host = Host::new(Gateway::new(config.settings.clone(), config.seed));
+    fn start(config: &Config, plan: Option<Rc<Plan>>) -> Shared {
+        let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
+        let host = Host::new(Gateway::with(config.settings.clone(), limits, config.seed));
         let record = host.record.clone();
         let classes = config.classes.clone();
         let longest_wait = config.patience.iter().copied().max().unwrap_or(0);
--- a/src/record.rs
+++ b/src/record.rs
@@ -102,6 +102,7 @@
             | Input::List { .. }
             | Input::Lost { .. }
             | Input::Unheard { .. }
+            | Input::Limits(_)
             | Input::Tick
             | Input::Close => return,
         };
--- a/src/sip/clients.rs
+++ b/src/sip/clients.rs
@@ -133,7 +133,8 @@
         let pool = value("pool").and_then(|p| p.parse().ok()).unwrap_or(-1);
         self.next_call += 1;
         let call = CallId(self.next_call);
-        let (number, description) = (fold(user), request.body.clone());
+        let (number, dialled) = (fold(user), user.into());
+        let description = request.body.clone();
         // Session-ID (RFC 7989) stays the same where a call is sent again, its first part by the caller's word.
         let session = request.get("Session-ID").and_then(|s| s.split(';').next());
         let name = session.or(request.get("Call-ID")).unwrap_or_default().trim().into();
@@ -155,7 +156,8 @@
         };
         self.callers.insert(call, caller);
         let (first_choice, again) = (PoolId(pool), false);
-        self.feed(Input::SetUp(SetUp { call, name, class, number, first_choice, left, again, description }));
+        let set_up = SetUp { call, name, class, number, dialled, first_choice, left, again, description };
+        self.feed(Input::SetUp(set_up));
     }
 
     /// CANCEL (§9.2): it ends an INVITE that has no final answer, and changes nothing else.
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -25,6 +25,7 @@
 use crate::config::SipConfig;
 use crate::gateway::{AttemptId, Command, Gateway, Input};
 use crate::host::{self, Front as _, Host};
+use crate::limits::{Live, Plan};
 use crate::list::{Directory, Listed, resolver};
 use crate::{CallId, ListScope, Micros, ServerId};
 
@@ -110,6 +111,7 @@
 pub async fn serve(
     config: SipConfig,
     resolver: watch::Receiver<SocketAddr>,
+    plan: host::Plans,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let named = |what: &str, e: std::io::Error| format!("cannot listen on {what}: {e}");
@@ -122,7 +124,7 @@
     let udp = Rc::new(udp);
     let dial = Duration::from_micros(config.dial_timeout.max(1_000));
     let transport = Transport::new(udp.clone(), udp_address, tcp_address, dial);
-    let front = Front::start(&config, transport);
+    let front = Front::start(&config, plan.borrow().clone(), transport);
     let follow = async {
         let service = resolver::Service::DnsSd(config.service.clone());
         let on_list = |asked, list| front.borrow_mut().take_list(asked, list);
@@ -132,7 +134,8 @@
         tokio::join!(
             transport::read_datagrams(front.clone(), udp),
             transport::accept(front.clone(), tcp),
-            follow
+            follow,
+            host::follow_plan(&front, plan)
         )
     };
     host::run(front.clone(), tasks, stop).await;
@@ -140,10 +143,12 @@
 }
 
 impl Front {
-    fn start(config: &SipConfig, transport: Transport) -> Shared {
+    fn start(config: &SipConfig, plan: Option<Rc<Plan>>, transport: Transport) -> Shared {
+        let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
+        let host = Host::new(Gateway::with(config.settings.clone(), limits, config.seed));
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
-                host: Host::new(Gateway::new(config.settings.clone(), config.seed)),
+                host,
                 directory: Directory::default(),
                 transport,
                 times: Times { t1: config.t1 },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,6 +94,7 @@
             first_choice: PoolId(first),
             repeat: false,
             in_transit: false,
+            attempts: u32::MAX,
         });
     }
 
@@ -133,7 +134,19 @@
         let sent = self.sent(id);
         let (attempt, server) = (sent.len() as u32 - 1, ServerId(sent[sent.len() - 1]));
         let (call, took, over) = (CallId(id), 30 * MS, outcome == Outcome::Completed);
-        self.event(Event::AttemptEnded { call, attempt, server, outcome, cause, took, over, load });
+        let (rest, again) = (0, true);
+        self.event(Event::AttemptEnded {
+            call,
+            attempt,
+            server,
+            outcome,
+            cause,
+            took,
+            over,
+            load,
+            rest,
+            again,
+        });
     }
 
     /// Teaches the front a server's least set-up delay with one quick call.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -153,6 +153,28 @@
         })
     }
 
+    /// A gatekeeper on the platform's protocol with a file of the operators'.
+    pub fn platform_by(resolver: &Resolver, ops: &Value) -> (Program, SocketAddr) {
+        let config = Program::platform_config(resolver, settings());
+        let mut program = Program::start(&[("--config", config), ("--ops", ops.clone())]);
+        let address = program.served()[0];
+        (program, address)
+    }
+
+    /// A gatekeeper on SIP with a file of the operators': its UDP address.
+    pub fn sip_by(resolver: &Resolver, ops: &Value) -> (Program, SocketAddr) {
+        let config = Program::sip_config(resolver, "_sip._udp.pool.lan", 9000);
+        let mut program = Program::start(&[("--sip", config), ("--ops", ops.clone())]);
+        let address = program.served()[0];
+        (program, address)
+    }
+
+    /// Replaces the operators' file, and sends SIGHUP.
+    pub fn replace_ops(&self, ops: &Value) {
+        std::fs::write(&self.files[1].0, ops.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn pause(&self) {
         self.signal("-STOP");
     }
