Refuse SIP settings that break a rule, with the place of each

Need: a SIP configuration with a misspelt key, 40 attempts and a release wait of 1 us passed check-config with status 0.

Change: src/config_check.rs holds the configuration's form (unknown keys refused; what the platform's settings have and this front has no use for may stand) and its rules: attempts, release wait, drain window, aims, shares, times. serve and check-config refuse it with all findings, drawn. decode: a needed value that was wrong is told once, not again as missing; whole numbers up to 2^64.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -7,6 +7,7 @@
 
 use crate::cli::{Asked, Format, Fronts};
 use crate::config::{self, Config, SipConfig};
+use crate::config_check;
 use crate::limits::units::Span;
 use crate::limits::{Ceilings, Limits, Origin, Plan, Sourced};
 use crate::ops::{self, Report};
@@ -14,13 +15,24 @@
 /// The fronts' configurations, as far as they are asked for.
 pub type Configs = (Option<Config>, Option<SipConfig>);
 
-/// Reads the fronts' configurations.
+/// Reads the fronts' configurations. The SIP front's is ours, so it is refused where it would break a rule; the platform's
+/// is taken as it is.
 pub fn read(fronts: &Fronts) -> Result<Configs, String> {
+    if let Some(report) = sip_report(fronts).filter(|r| r.refused) {
+        return Err(format!("{} is refused\n{}", report.file, report.render()));
+    }
     let config = fronts.config.as_deref().map(|p| decoded(p, config::decode)).transpose()?;
     let sip = fronts.sip.as_deref().map(|p| decoded(p, config::decode_sip)).transpose()?;
     Ok((config, sip))
 }
 
+/// What is wrong with the SIP front's configuration, if it is asked for and can be read as a text.
+fn sip_report(fronts: &Fronts) -> Option<Report> {
+    let path = fronts.sip.as_deref()?;
+    let text = std::fs::read_to_string(path).ok()?;
+    Some(config_check::sip(&path.display().to_string(), &text))
+}
+
 /// Reads one file; what is wrong with it is said in one line.
 fn decoded<T>(path: &Path, decode: fn(&str) -> Result<T, String>) -> Result<T, String> {
     let named = |e: String| format!("{}: {}", path.display(), e.replace('\n', " "));
@@ -40,12 +52,17 @@
 
 /// Checks the files.
 pub fn check(fronts: &Fronts, ops_file: Option<&PathBuf>, format: Format) -> (String, bool) {
-    let configs = match read(fronts) {
-        Ok(configs) => configs,
-        Err(e) if format == Format::Json => {
-            return (json!({"error": e, "accepted": false}).to_string(), false);
+    let refused = sip_report(fronts).filter(|r| r.refused);
+    let configs = match (read(fronts), format) {
+        (Ok(configs), _) => configs,
+        (Err(e), Format::Text) => return (format!("error: {e}\n"), false),
+        (Err(e), Format::Json) => {
+            let said = match refused {
+                Some(report) => json!({"accepted": false, "reports": [report]}),
+                None => json!({"accepted": false, "error": e}),
+            };
+            return (said.to_string() + "\n", false);
         }
-        Err(e) => return (format!("error: {e}\n"), false),
     };
     let mut reports: Vec<Report> = Vec::new();
     for ceilings in ops_file.iter().flat_map(|_| ceilings(&configs)) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod clock;
 pub mod commands;
 pub mod config;
+pub mod config_check;
 mod decide;
 pub mod gateway;
 pub mod host;
--- a/src/ops/decode.rs
+++ b/src/ops/decode.rs
@@ -118,16 +118,14 @@
     if let Some(hex) = digits.strip_prefix("0x").or_else(|| digits.strip_prefix("0X")) {
         return i64::from_str_radix(hex, 16).ok().map(|n| Number::from(sign * n));
     }
-    plain
-        .parse::<i64>()
-        .ok()
-        .map(Number::from)
-        .or_else(|| plain.parse::<f64>().ok().and_then(Number::from_f64))
+    let whole = plain.parse::<i64>().map(Number::from).or_else(|_| plain.parse::<u64>().map(Number::from));
+    whole.ok().or_else(|| plain.parse::<f64>().ok().and_then(Number::from_f64))
 }
 
 /// Decodes one value. What cannot be decoded is noted, taken out, and the rest is looked at again, so that every
 /// fault is found. `None` if nothing is left that could be decoded.
 pub fn decode<T: DeserializeOwned>(mut value: Value, at: &Path, findings: &mut Vec<Finding>) -> Option<T> {
+    let mut taken: Vec<Vec<Step>> = Vec::new();
     for _ in 0..FAULTS_MOST {
         let error = match serde_path_to_error::deserialize::<_, T>(&value) {
             Ok(decoded) => return Some(decoded),
@@ -143,6 +141,14 @@
         }
         let mut full = Path(at.0.iter().chain(&steps).cloned().collect());
         let said = error.inner().to_string();
+        let missing = said.strip_prefix("missing field `").and_then(|m| m.strip_suffix('`'));
+        let needed = |t: &Vec<Step>| {
+            let name = missing.map(|key| Step::Key(key.to_string()));
+            t.split_last().is_some_and(|(last, before)| Some(last) == name.as_ref() && before == steps)
+        };
+        if taken.iter().any(needed) {
+            return None; // it was there, wrong, and has been told
+        }
         if let (true, Some(Step::Key(key))) = (said.starts_with("unknown field"), full.0.last().cloned()) {
             full.0.pop();
             full = full.name(&key);
@@ -151,6 +157,7 @@
         if !take_out(&mut value, &steps) {
             return None;
         }
+        taken.push(steps);
     }
     None
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -123,6 +123,22 @@
     Ok(Ops { log, plan, report })
 }
 
+/// Looks through another text of ours: `check` gets its value and adds what it finds.
+pub fn examine(name: &str, text: &str, check: impl FnOnce(Value, &mut Vec<Finding>)) -> Report {
+    match decode::parse(text) {
+        Ok(tree) => {
+            let mut findings = Vec::new();
+            let value = tree.value(&mut findings);
+            check(value, &mut findings);
+            Report::new(name, text, findings, |path| tree.locate(path))
+        }
+        Err((said, range)) => {
+            let finding = Finding::error("json", Path::default(), said, "write JSON, as in deploy/sip.json");
+            Report::new(name, text, vec![finding], |_| Some(range))
+        }
+    }
+}
+
 /// A JSON Schema of the file, for editors.
 pub fn schema() -> String {
     let schema = schemars::schema_for!(File);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -147,9 +147,11 @@
     }
 
     fn sip_config(resolver: &Resolver, service: &str, wait_ms: u64) -> Value {
+        let mut settings = settings();
+        settings.as_object_mut().unwrap().remove("unheard-of"); // ours to refuse, unlike the platform's
         json!({
             "name": "s1", "udp": "127.0.0.1:0", "tcp": "127.0.0.1:0", "dns": resolver.address.to_string(),
-            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings()
+            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings
         })
     }
 
