Find what holds for a route and class once, not for each call

Change: limits/live.rs compiled names and looked three levels up by text for each call. What holds for a route and class and its levels is now made with the first such call and kept until a reload; a call pays for its route's look-up and one by number.

--- a/src/limits/live.rs
+++ b/src/limits/live.rs
@@ -127,6 +127,7 @@
 }
 
 type Shared = Rc<RefCell<Level>>;
+type Ready = (Rc<Limits>, Rc<[Shared]>);
 
 /// What a call holds for as long as it is open or stands.
 #[derive(Debug)]
@@ -135,7 +136,7 @@
     pub limits: Rc<Limits>,
     /// How long a try of it may take.
     pub try_for: Option<Micros>,
-    levels: Vec<Shared>,
+    levels: Rc<[Shared]>,
     /// A repeat was allowed and is not out yet.
     reserved: Cell<bool>,
 }
@@ -143,7 +144,7 @@
 impl Held {
     fn unreserve(&self) {
         if self.reserved.replace(false) {
-            for level in &self.levels {
+            for level in self.levels.iter() {
                 if let Some(budget) = &mut level.borrow_mut().budget {
                     budget.reserved = budget.reserved.saturating_sub(1);
                 }
@@ -165,7 +166,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         self.unreserve();
-        for level in &self.levels {
+        for level in self.levels.iter() {
             let mut level = level.borrow_mut();
             level.open = level.open.saturating_sub(1);
         }
@@ -210,6 +211,9 @@
     plan: Rc<Plan>,
     names: Vec<String>,
     levels: HashMap<String, Shared>,
+    /// What holds for each route and class that calls had so far, and its levels: a call costs one look-up.
+    ready: HashMap<(u32, usize), Ready>,
+    no_levels: Rc<[Shared]>,
     /// What holds where the file says nothing, and there is no file to say something.
     bare: Option<Rc<Limits>>,
     rng: Pcg32,
@@ -219,7 +223,16 @@
 impl Live {
     /// A plan at work for classes of these names.
     pub fn new(plan: Rc<Plan>, names: Vec<String>, seed: u64) -> Live {
-        Live { plan, names, levels: HashMap::new(), bare: None, rng: Pcg32::seed_from_u64(seed), now: 0 }
+        Live {
+            plan,
+            names,
+            levels: HashMap::new(),
+            ready: HashMap::new(),
+            no_levels: Rc::new([]),
+            bare: None,
+            rng: Pcg32::seed_from_u64(seed),
+            now: 0,
+        }
     }
 
     /// A front's limits: by the operators' plan, or where there is none by its settings alone.
@@ -267,6 +280,7 @@
             None => false,
         });
         drop(terms);
+        self.ready.clear();
         self.plan = plan;
         self.bare = None;
     }
@@ -276,24 +290,19 @@
         self.now = self.now.max(now);
         let now = self.now;
         if let Some(limits) = &self.bare {
-            let (limits, levels) = (limits.clone(), Vec::new());
+            let (limits, levels) = (limits.clone(), self.no_levels.clone());
             return Ok(Held { limits, try_for: None, levels, reserved: Cell::new(false) });
         }
         let class = self.names.get(asked.class).map_or("", String::as_str);
         let route = self.plan.route(class, asked.pool, asked.number);
-        let limits = self.plan.limits(route, class);
-        let mut levels: Vec<Shared> = Vec::new();
-        for (origin, terms) in self.plan.levels(route, Some(class)) {
-            if terms.open_calls.is_none() && terms.rate.is_none() && terms.retry_budget.is_none() {
-                continue;
-            }
-            let name = name_of(&self.plan, &origin);
-            let new = || Rc::new(RefCell::new(Level::new(name.clone(), terms, now)));
-            levels.push(self.levels.entry(name.clone()).or_insert_with(new).clone());
-        }
+        let key = (route.map_or(u32::MAX, |n| n as u32), asked.class);
+        let (limits, levels) = match self.ready.get(&key) {
+            Some(ready) => ready.clone(),
+            None => self.make_ready(route, asked.class, now),
+        };
         let (least, most) = limits.come_back.value.map_or((1, WAIT_MOST), |c| (c.least.0, c.most.0));
         // All caps first: a call that one of them turns away takes nothing of the others.
-        for level in &levels {
+        for level in levels.iter() {
             let level = &mut *level.borrow_mut();
             let refused = |wait: Micros, cap| Refusal {
                 wait: wait.clamp(least, most.max(least)),
@@ -311,7 +320,7 @@
                 }
             }
         }
-        for level in &levels {
+        for level in levels.iter() {
             let level = &mut *level.borrow_mut();
             level.open += 1;
             if let Some(bucket) = &mut level.bucket {
@@ -325,6 +334,23 @@
         Ok(Held { limits, try_for, levels, reserved: Cell::new(false) })
     }
 
+    /// Compiles what holds for a route and class, and finds or makes its levels.
+    fn make_ready(&mut self, route: Option<usize>, class: usize, now: Micros) -> Ready {
+        let name = self.names.get(class).map_or("", String::as_str);
+        let mut levels: Vec<Shared> = Vec::new();
+        for (origin, terms) in self.plan.levels(route, Some(name)) {
+            if terms.open_calls.is_none() && terms.rate.is_none() && terms.retry_budget.is_none() {
+                continue;
+            }
+            let level = name_of(&self.plan, &origin);
+            let new = || Rc::new(RefCell::new(Level::new(level.clone(), terms, now)));
+            levels.push(self.levels.entry(level.clone()).or_insert_with(new).clone());
+        }
+        let ready: Ready = (self.plan.limits(route, name), levels.into());
+        self.ready.insert((route.map_or(u32::MAX, |n| n as u32), class), ready.clone());
+        ready
+    }
+
     /// An attempt of a call has ended, the last of so many: how long the call rests, and whether it may be tried again.
     pub fn after(&mut self, now: Micros, held: &Held, outcome: Outcome, tries: u32) -> Verdict {
         self.now = self.now.max(now);
@@ -345,7 +371,7 @@
         let allows = |level: &Shared| level.borrow_mut().budget.as_mut().is_none_or(|b| b.allows(now));
         let again = held.levels.iter().all(allows);
         if again {
-            for level in &held.levels {
+            for level in held.levels.iter() {
                 if let Some(budget) = &mut level.borrow_mut().budget {
                     budget.reserved += 1;
                 }
