--- a/src/config_check.rs
+++ b/src/config_check.rs
@@ -92,8 +92,9 @@
     worth: f64,
     #[serde(default)]
     late_worth: f64,
-    #[serde(default)]
-    effect: Option<Effect>,
+    /// Only that it is one of the three.
+    #[serde(default, rename = "effect")]
+    _effect: Option<Effect>,
     #[serde(default, rename = "aim-stretch")]
     _aim_stretch: IgnoredAny,
     #[serde(default, rename = "dedup-scope")]
@@ -308,8 +309,6 @@
                 "write as in 0.25",
             );
         }
-        // All three are known; which it is counts when a set-up may have run.
-        let _known: Option<&Effect> = class.effect.as_ref();
     }
     if domain.allowed_pools.len() > file.settings.services.len() {
         let text = "there are more lists of pools than classes";
