--- a/src/cli.rs
+++ b/src/cli.rs
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug)]
 pub enum Task {
     /// Run a gatekeeper.
-    Serve(Fronts, Option<PathBuf>, log::Settings),
+    Serve(Fronts, Option<PathBuf>, log::Settings, Option<Door>),
     /// Say which version this is.
     Version,
     /// Read the files and say what is in them and what is wrong with them.
@@ -77,6 +77,19 @@
     construct!(Fronts { config, sip })
 }
 
+/// Where operators connect, as it was given.
+#[derive(Clone, Debug)]
+pub struct Door(pub String);
+
+fn door() -> impl Parser<Option<Door>> {
+    long("door")
+        .env("LB_OPS")
+        .help("where operators connect, as in 127.0.0.1:9800; goes before 'ops' in the configuration")
+        .argument::<String>("HOST:PORT")
+        .map(Door)
+        .optional()
+}
+
 fn ops() -> impl Parser<PathBuf> {
     long("ops")
         .help("the operators' file: JSON with comments, as deploy/cobaltspool.json5")
@@ -104,8 +117,8 @@
 pub fn parser() -> OptionParser<Task> {
     let some = |f: &Fronts| f.config.is_some() || f.sip.is_some();
     let of_serve = fronts().guard(some, "give --config (or LB_CONFIG), --sip, or both");
-    let (ops_of_serve, log) = (ops().optional(), logging());
-    let serve = construct!(Task::Serve(of_serve, ops_of_serve, log))
+    let (ops_of_serve, log, door) = (ops().optional(), logging(), door());
+    let serve = construct!(Task::Serve(of_serve, ops_of_serve, log, door))
         .to_options()
         .descr("Runs a gatekeeper until it is told to stop")
         .footer("Example: cobaltspool serve --sip deploy/sip.json --ops deploy/cobaltspool.json5")
--- a/src/config.rs
+++ b/src/config.rs
@@ -34,6 +34,8 @@
     pub dial_timeout: Micros,
     /// The longest time that a class's callers wait, by its place in the settings.
     pub patience: Vec<Micros>,
+    /// Where operators connect; `None`: nowhere.
+    pub ops: Option<SocketAddr>,
 }
 
 /// What the SIP front is told.
@@ -62,6 +64,8 @@
     pub classes: Vec<String>,
     /// TCP connections are bounded by this.
     pub dial_timeout: Micros,
+    /// Where operators connect; `None`: nowhere.
+    pub ops: Option<SocketAddr>,
 }
 
 /// A JSON object, read by key. Errors name the key.
@@ -103,6 +107,11 @@
         self.text(key)?.parse().map_err(|_| format!("'{key}' is not an address"))
     }
 
+    /// An address, where the key is there.
+    fn address_if_any(&self, key: &str) -> Result<Option<SocketAddr>, String> {
+        if self.0.contains_key(key) { self.address(key).map(Some) } else { Ok(None) }
+    }
+
     /// A number, or 0 where the key is absent.
     pub fn number(&self, key: &str) -> Result<f64, String> {
         let Some(value) = self.0.get(key) else { return Ok(0.0) };
@@ -152,6 +161,7 @@
         classes,
         dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
         patience,
+        ops: top.address_if_any("ops")?,
     })
 }
 
@@ -179,6 +189,7 @@
         settings: decode_settings(&settings)?,
         classes,
         dial_timeout: settings.object("ceilings")?.count("dial-timeout-us")?,
+        ops: top.address_if_any("ops")?,
     })
 }
 
--- a/src/config_check.rs
+++ b/src/config_check.rs
@@ -28,6 +28,8 @@
     _tcp: SocketAddr,
     #[serde(rename = "dns")]
     _dns: SocketAddr,
+    #[serde(default, rename = "ops")]
+    _ops: Option<SocketAddr>,
     service: String,
     seed: String,
     t1_ms: Option<u64>,
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -1,6 +1,7 @@
 //! Admit: the module's verdicts become final answers, at once and once.
 
 use super::book::{Out, State};
+use super::tally::End;
 use super::{AttemptId, Command, Gateway};
 use crate::{CallId, Event, Micros, Outcome};
 
@@ -9,21 +10,21 @@
 
 impl Gateway {
     pub(super) fn refuse(&mut self, call: CallId, wait: Micros, out: &mut Vec<Command>) {
-        if self.finish(call, out) {
+        if self.finish(call, End::Refused, out) {
             out.push(Command::Refuse { call, wait });
         }
     }
 
     pub(super) fn fail(&mut self, call: CallId, out: &mut Vec<Command>) {
-        if self.finish(call, out) {
+        if self.finish(call, End::Failed, out) {
             out.push(Command::Fail { call });
         }
     }
 
     /// Takes an open call out of the book, with whatever it still has out. A verdict on a call that is over
     /// already is no error: what ended it and the verdict may have crossed.
-    fn finish(&mut self, call: CallId, out: &mut Vec<Command>) -> bool {
-        let Some(attempt) = self.close_open(call) else { return false };
+    fn finish(&mut self, call: CallId, end: End, out: &mut Vec<Command>) -> bool {
+        let Some(attempt) = self.close_open(call, end) else { return false };
         if let Some(at) = attempt {
             let attempt = AttemptId { call, number: at.number };
             out.push(Command::GiveUp { attempt, server: at.server });
@@ -34,10 +35,10 @@
 
     /// Takes a call out of the book that is still owed its final answer; the caller of this gives that answer.
     /// What is out is called off with it, so the release wait begins now.
-    pub(super) fn close_open(&mut self, call: CallId) -> Option<Option<Out>> {
+    pub(super) fn close_open(&mut self, call: CallId, end: End) -> Option<Option<Out>> {
         let (_, attempt) = self.book.open_mut(call)?;
         let rest = if attempt.is_some() { self.now + self.set.rules.release_wait } else { 0 };
-        self.book.close(call, rest).map(|_| attempt)
+        self.book.close(call, rest, end).map(|_| attempt)
     }
 
     /// Ends attempts whose time is up, and answers what the module has left unanswered past its deadline.
@@ -67,9 +68,10 @@
     /// The program ends: open calls get their answer, standing ones are released on both sides.
     pub(super) fn close(&mut self, out: &mut Vec<Command>) {
         for call in self.book.all() {
-            match self.book.close(call, 0) {
+            // Refused where nothing may have run, so that the caller may try elsewhere at once.
+            let out_now = self.book.get(call).is_some_and(|e| matches!(e.state, State::Open(Some(_))));
+            match self.book.close(call, 0, if out_now { End::Failed } else { End::Refused }) {
                 Some(State::Open(attempt)) => {
-                    // Refused where nothing may have run, so that the caller may try elsewhere at once.
                     let Some(at) = attempt else {
                         out.push(Command::Refuse { call, wait: 0 });
                         continue;
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use super::tally::{End, Tally};
 use crate::limits::Held;
 use crate::{CallId, Micros, ServerId};
 
@@ -36,6 +37,8 @@
     pub state: State,
     /// Its name on the wire.
     name: Box<str>,
+    /// Its class.
+    class: usize,
     /// When its caller gives up.
     pub due: Micros,
     /// Attempts so far.
@@ -54,20 +57,35 @@
     calls: BTreeMap<CallId, Entry>,
     dues: BTreeSet<(Micros, CallId)>,
     standing: usize,
+    /// What became of the calls so far.
+    pub tally: Tally,
     /// Names of calls that are over, and until when they may not go out again; the same in the order of their ends.
     resting: HashMap<Box<str>, Micros>,
     rests: VecDeque<(Micros, Box<str>)>,
 }
 
 impl Book {
+    /// A book for so many classes.
+    pub fn of(classes: usize) -> Book {
+        Book { tally: Tally::of(classes), ..Book::default() }
+    }
+
     /// Opens a call; false if it is in the book already.
-    pub fn open_call(&mut self, call: CallId, name: Box<str>, due: Micros, description: Bytes) -> bool {
+    pub fn open_call(
+        &mut self,
+        call: CallId,
+        name: Box<str>,
+        class: usize,
+        due: Micros,
+        description: Bytes,
+    ) -> bool {
         if self.calls.contains_key(&call) {
             return false;
         }
         let entry = Entry {
             state: State::Open(None),
             name,
+            class,
             due,
             attempts: 0,
             wait_until: 0,
@@ -76,6 +94,7 @@
         };
         self.calls.insert(call, entry);
         self.dues.insert((due, call));
+        self.tally.taken(class);
         true
     }
 
@@ -133,13 +152,16 @@
         self.dues.remove(&(due, call));
         self.dues.remove(&(out.until, call));
         self.standing += 1;
+        self.tally.served(entry.class);
         true
     }
 
     /// Takes a call out, whatever its state: the one place where a call's time in the book ends. Its name rests
-    /// until `rest`, or until an earlier attempt's release wait is over.
-    pub fn close(&mut self, call: CallId, rest: Micros) -> Option<State> {
+    /// until `rest`, or until an earlier attempt's release wait is over. `end` says what became of it where it was open.
+    pub fn close(&mut self, call: CallId, rest: Micros, end: End) -> Option<State> {
         let entry = self.calls.remove(&call)?;
+        let end = if matches!(entry.state, State::Stands(_)) { End::Over } else { end };
+        self.tally.ended(entry.class, end);
         let rest = rest.max(entry.wait_until);
         if rest > 0 {
             self.rests.push_back((rest, entry.name.clone()));
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -1,6 +1,7 @@
 //! Intake: a caller's set-up becomes a call in the book and an event for the module; what callers take back.
 
 use super::book::State;
+use super::tally::End;
 use super::{AttemptId, Command, Gateway, SetUp};
 use crate::limits::Asked;
 use crate::{CallId, Event, Outcome};
@@ -10,7 +11,7 @@
         let SetUp { call, name, class, number, dialled, first_choice, left, again, description } = set_up;
         let due = self.now.saturating_add(left);
         let rests_until = self.book.rests_until(&name, self.now);
-        if !self.book.open_call(call, name, due, description) {
+        if !self.book.open_call(call, name, class, due, description) {
             return out.push(Command::Warn(format!("intake: call {} came twice", call.0)));
         }
         if let Some(until) = rests_until {
@@ -52,7 +53,7 @@
         if self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_))) {
             return self.hung_up(call, out);
         }
-        let Some(attempt) = self.close_open(call) else { return };
+        let Some(attempt) = self.close_open(call, End::Withdrawn) else { return };
         self.news.push_back(Event::CallerGone { call });
         if let Some(at) = attempt {
             let attempt = AttemptId { call, number: at.number };
@@ -67,7 +68,8 @@
         if !standing {
             return self.given_up(call, out);
         }
-        if let Some(State::Stands(at)) = self.book.close(call, self.now + self.set.rules.release_wait) {
+        let rest = self.now + self.set.rules.release_wait;
+        if let Some(State::Stands(at)) = self.book.close(call, rest, End::Over) {
             let attempt = AttemptId { call, number: at.number };
             out.push(Command::Release { attempt, server: at.server });
             self.tell_end(call, at, Outcome::Cancelled, true);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,12 +14,15 @@
 mod relay;
 mod route;
 mod send;
+mod tally;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
 use bytes::Bytes;
 
+pub use tally::Counts;
+
 use crate::limits::{Live, Plan};
 use crate::{Action, CallId, Cause, Controller, Event, LoadReport, Micros, Number, Outcome, PoolId};
 use crate::{ListScope, ServerEntry, ServerId, Settings};
@@ -214,13 +217,13 @@
         Gateway {
             limits,
             module: Controller::new(set.clone(), seed),
-            set,
-            book: book::Book::default(),
+            book: book::Book::of(set.classes.len()),
             route: route::Route::default(),
             timers: BTreeSet::new(),
             news: VecDeque::new(),
             actions: Vec::new(),
             now: 0,
+            set,
         }
     }
 
@@ -276,6 +279,25 @@
         self.book.standing()
     }
 
+    /// What became of the calls so far, by class.
+    pub fn counts(&self) -> &[Counts] {
+        self.book.tally.counts()
+    }
+
+    /// The last byte of a set-up of this class has been given to a server's connection.
+    pub fn attempt_written(&mut self, class: usize) {
+        self.book.tally.attempt(class);
+    }
+
+    /// Listed servers, and those of them that get no fresh calls now: they drain, the module has them shut, or they
+    /// did not answer and only trial calls go there.
+    pub fn servers(&self) -> (usize, usize) {
+        let listed: Vec<(ServerId, bool)> = self.route.listed().collect();
+        let shut = |server| self.module.gauge(server).is_some_and(|g| !g.u || g.silent);
+        let avoided = listed.iter().filter(|(server, up)| !up || shut(*server)).count();
+        (listed.len(), avoided)
+    }
+
     /// Tells the module its news and carries its actions out, until neither is left.
     fn settle(&mut self, out: &mut Vec<Command>) {
         while let Some(event) = self.news.pop_front() {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::book::{Out, State};
+use super::tally::End;
 use super::{AttemptId, Command, Gateway};
 use crate::{Cause, Event, LoadReport, Micros, Outcome, ServerId};
 
@@ -38,7 +39,7 @@
         let Some((state, at)) = self.held(attempt) else { return };
         if let State::Stands(_) = state {
             let rest = if outcome == Outcome::Completed { 0 } else { self.now + self.set.rules.release_wait };
-            self.book.close(call, rest);
+            self.book.close(call, rest, End::Over);
             out.push(Command::Over { call, outcome });
             return self.tell_end_with(call, at, outcome, true, cause, load);
         }
@@ -69,7 +70,7 @@
             if !self.book.get(call).is_some_and(|e| matches!(e.state, State::Stands(_))) {
                 continue; // an attempt that is out has a time-out of its own
             }
-            self.book.close(call, self.now + self.set.rules.release_wait);
+            self.book.close(call, self.now + self.set.rules.release_wait, End::Over);
             out.push(Command::Release { attempt: AttemptId { call, number: at.number }, server });
             out.push(Command::Over { call, outcome: Outcome::Cut });
             self.tell_end(call, at, Outcome::Cut, true);
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -27,6 +27,12 @@
         }
     }
 
+    /// The servers that are in the list, and whether they take calls by its word.
+    pub fn listed(&self) -> impl Iterator<Item = (ServerId, bool)> + '_ {
+        let listed = self.servers.iter().filter(|(_, (status, _))| *status != Status::Removed);
+        listed.map(|(id, (status, _))| (*id, *status == Status::Up))
+    }
+
     /// May a set-up still go there? From the news that a server drains or is gone, `grace` remains at most;
     /// an unlisted server gets nothing.
     pub fn open(&self, server: ServerId, now: Micros, grace: Micros) -> bool {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -143,7 +143,7 @@
 #[rstest]
 fn a_call_without_a_verdict_fails_at_its_deadline(mut bench: Bench) {
     let due = bench.now + 100 * MS;
-    bench.gateway.book.open_call(CallId(2), "two".into(), due, Bytes::new());
+    bench.gateway.book.open_call(CallId(2), "two".into(), 0, due, Bytes::new());
     bench.gateway.book.sent(CallId(2), Out { number: 0, server: ServerId(0), sent: bench.now, until: due });
     bench.now = due;
     let given_up = AttemptId { call: CallId(2), number: 0 };
@@ -168,7 +168,7 @@
 /// At the end an open call is refused where nothing of it may have run, and fails where something may.
 #[rstest]
 fn the_end_answers_what_is_open(mut bench: Bench) {
-    bench.gateway.book.open_call(CallId(2), "two".into(), bench.now + 100 * MS, Bytes::new());
+    bench.gateway.book.open_call(CallId(2), "two".into(), 0, bench.now + 100 * MS, Bytes::new());
     let out = bench.see(Input::Close);
     let given_up = Command::GiveUp { attempt: ATTEMPT, server: ServerId(0) };
     assert_eq!(out, [given_up, Command::Fail { call: CALL }, Command::Refuse { call: CallId(2), wait: 0 }]);
--- a/src/host.rs
+++ b/src/host.rs
@@ -11,6 +11,9 @@
 use crate::clock;
 use crate::gateway::{Command, Gateway, Input};
 use crate::limits::Plan;
+use crate::operate::figures::Figures;
+use crate::operate::service::Service;
+use crate::operate::{Desk, View};
 use crate::record::Record;
 
 /// After SIGTERM, set-ups keep coming for a while: new connections for 0.4 s, requests on open ones 0.2 s more.
@@ -31,24 +34,41 @@
     pub inputs: VecDeque<Input>,
     commands: Vec<Command>,
     wake: Rc<Notify>,
-    stopping: Option<Micros>,
+    /// Names of the classes, by their place in the settings.
+    classes: Vec<String>,
+    /// Whether clients are welcome.
+    pub service: Service,
 }
 
 impl Host {
     /// A host for a new core.
-    pub fn new(gateway: Gateway) -> Self {
-        let (inputs, commands, record) = (VecDeque::new(), Vec::new(), Record::default());
-        Host { gateway, record, inputs, commands, wake: Rc::new(Notify::new()), stopping: None }
+    pub fn new(gateway: Gateway, classes: Vec<String>) -> Self {
+        Host {
+            gateway,
+            record: Record::default(),
+            inputs: VecDeque::new(),
+            commands: Vec::new(),
+            wake: Rc::new(Notify::new()),
+            classes,
+            service: Service::default(),
+        }
     }
 
-    /// Whether the program has been told to stop.
-    pub fn stopping(&self) -> bool {
-        self.stopping.is_some()
+    /// The core's figures now.
+    pub fn figures(&self) -> Figures {
+        let counts = self.gateway.counts().iter().copied();
+        let (servers_known, servers_excluded) = self.gateway.servers();
+        Figures {
+            classes: self.classes.iter().cloned().zip(counts).collect(),
+            in_flight: self.gateway.open_calls() + self.gateway.standing_calls(),
+            servers_known,
+            servers_excluded,
+        }
     }
 
     /// After SIGTERM: what comes in is still answered, standing calls may come to their end, then it is over.
     fn stopped(&self, now: Micros) -> bool {
-        let Some(since) = self.stopping else { return false };
+        let Some(since) = self.service.stopping() else { return false };
         let (open, standing) = (self.gateway.open_calls(), self.gateway.standing_calls());
         let gone = now.saturating_sub(since);
         gone >= STOP_LEAST && open + standing == 0
@@ -111,17 +131,46 @@
     std::future::pending().await
 }
 
+impl<F: Front> View for RefCell<F> {
+    fn ready(&self) -> bool {
+        self.borrow_mut().host().service.takes_clients()
+    }
+
+    fn figures(&self) -> Figures {
+        self.borrow_mut().host().figures()
+    }
+}
+
 /// Runs a front's tasks until it is told to stop and has nothing left to do. `tasks` go on for ever.
-pub async fn run<F: Front>(front: Rc<RefCell<F>>, tasks: impl Future, stop: impl Future<Output = ()>) {
+pub async fn run<F: Front + 'static>(
+    front: Rc<RefCell<F>>,
+    desk: Rc<Desk>,
+    tasks: impl Future,
+    stop: impl Future<Output = ()>,
+) {
+    let view: Rc<dyn View> = front.clone();
+    desk.attend(Rc::downgrade(&view));
     let told = async {
         stop.await;
         tracing::info!("stopping");
-        front.borrow_mut().host().stopping = Some(clock::now());
+        desk.stops();
+        front.borrow_mut().host().service.stop(clock::now());
+        std::future::pending::<()>().await;
+    };
+    let mut orders = desk.orders();
+    let ordered = async {
+        while orders.changed().await.is_ok() {
+            let out = *orders.borrow_and_update();
+            let mut front = front.borrow_mut();
+            front.host().service.order(clock::now(), out);
+            front.care(clock::now());
+        }
         std::future::pending::<()>().await;
     };
     tokio::select! {
         _ = tasks => {}
         () = told => {}
+        () = ordered => {}
         () = keep_time(&front) => {}
     }
     tokio::time::sleep(LAST_WORDS).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 mod link;
 pub mod list;
 pub mod log;
+pub mod operate;
 pub mod ops;
 pub mod platform;
 mod record;
--- a/src/link.rs
+++ b/src/link.rs
@@ -24,6 +24,8 @@
     bytes: RefCell<BytesMut>,
     wake: Notify,
     closed: Cell<bool>,
+    /// Bytes that the system has taken so far.
+    written: Cell<u64>,
 }
 
 impl Outbox {
@@ -43,6 +45,22 @@
         true
     }
 
+    /// Where what was queued last ends, counted from the first byte of all. The system has taken it once
+    /// [`Outbox::written`] says as much.
+    pub fn end(&self) -> u64 {
+        self.written.get() + self.bytes.borrow().len() as u64
+    }
+
+    /// Bytes that the system has taken so far.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    fn took(&self, size: usize) {
+        self.bytes.borrow_mut().advance(size);
+        self.written.set(self.written.get() + size as u64);
+    }
+
     /// Whether everything has been written.
     pub fn is_empty(&self) -> bool {
         self.bytes.borrow().is_empty()
@@ -78,7 +96,8 @@
         result = write(output, &outbox, on_drained) => result,
     };
     outbox.close();
-    let _ = stream.try_write(&outbox.bytes.borrow());
+    let last = stream.try_write(&outbox.bytes.borrow());
+    outbox.took(last.unwrap_or(0));
     result
 }
 
@@ -120,7 +139,7 @@
         }
         let written = output.try_write(&outbox.bytes.borrow());
         match written {
-            Ok(n) => outbox.bytes.borrow_mut().advance(n),
+            Ok(n) => outbox.took(n),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 if outbox.closed.get() {
                     return Ok(());
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,9 +5,10 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use cobaltspool::cli::{self, Fronts, Task};
+use cobaltspool::cli::{self, Door, Fronts, Task};
 use cobaltspool::commands::{self, Configs, read};
 use cobaltspool::limits::{Ceilings, Plan};
+use cobaltspool::operate::{Desk, door};
 use cobaltspool::ops::{self, Ops};
 use cobaltspool::{log, platform, sip};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -22,7 +23,7 @@
         if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
     };
     let done = match cli::parser().run() {
-        Task::Serve(fronts, ops, log) => start(&fronts, ops.as_deref(), log),
+        Task::Serve(fronts, ops, log, door) => start(&fronts, ops.as_deref(), log, door),
         Task::Version => {
             println!("cobaltspool {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -57,14 +58,26 @@
     ceilings.iter().map(read).collect()
 }
 
-fn start(fronts: &Fronts, file: Option<&Path>, log: log::Settings) -> Result<(), String> {
+fn start(fronts: &Fronts, file: Option<&Path>, log: log::Settings, door: Option<Door>) -> Result<(), String> {
     let configs = read(fronts)?;
+    let door = door_of(door, &configs)?;
     let ceilings = commands::ceilings(&configs);
     let ops = read_ops(file, &ceilings)?;
     let written = ops.first().map(|o| o.log.clone()).unwrap_or_default();
     let _guard = log::start(log.or(written))?;
     warn_of(&ops);
-    serve(fronts, configs, &Operators { file, ceilings }, ops)
+    serve(fronts, configs, &Operators { file, ceilings }, ops, door)
+}
+
+/// Where operators connect: what the command line or LB_OPS says goes before the configuration.
+fn door_of(given: Option<Door>, (config, sip): &Configs) -> Result<Option<SocketAddr>, String> {
+    match given.map(|Door(text)| text).filter(|text| !text.is_empty()) {
+        Some(text) => {
+            let unread = || format!("--door or LB_OPS: '{text}' is no address; write HOST:PORT with numbers");
+            text.parse().map(Some).map_err(|_| unread())
+        }
+        None => Ok(config.as_ref().and_then(|c| c.ops).or(sip.as_ref().and_then(|c| c.ops))),
+    }
 }
 
 /// The operators' file and what it is checked against.
@@ -85,6 +98,7 @@
     (config, sip): Configs,
     operators: &Operators,
     ops: Vec<Ops>,
+    door: Option<SocketAddr>,
 ) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
@@ -109,16 +123,30 @@
         let plan = watch::Sender::new(config.as_ref().and_then(|_| plans.next()));
         let sip_plan = watch::Sender::new(sip.as_ref().and_then(|_| plans.next()));
         let limits: Vec<&Plans> = config.iter().map(|_| &plan).chain(sip.iter().map(|_| &sip_plan)).collect();
+        let desk = Desk::of(usize::from(config.is_some()) + usize::from(sip.is_some()));
+        let listener = match door {
+            Some(address) => Some(door::open(address).await?),
+            None => None,
+        };
+        let door = async {
+            match listener {
+                Some(listener) => door::serve(desk.clone(), listener).await,
+                None => std::future::pending().await,
+            }
+        };
         let platform = async {
             let Some(config) = config else { return Ok(()) };
-            platform::serve(config, dns.subscribe(), plan.subscribe(), told(stopped.clone())).await
+            platform::serve(config, dns.subscribe(), plan.subscribe(), desk.clone(), told(stopped.clone()))
+                .await
         };
         let sip = async {
             let Some(config) = sip else { return Ok(()) };
-            sip::serve(config, sip_dns.subscribe(), sip_plan.subscribe(), told(stopped.clone())).await
+            sip::serve(config, sip_dns.subscribe(), sip_plan.subscribe(), desk.clone(), told(stopped.clone()))
+                .await
         };
         tokio::select! {
             done = async { tokio::try_join!(platform, sip) } => done.map(|_| ()),
+            () = door => Ok(()),
             () = reload(fronts, operators, hup, [&dns, &sip_dns], &limits) => Ok(()),
         }
     })
--- /dev/null
+++ b/src/operate/figures.rs
@@ -0,0 +1,111 @@
+//! The figures as the operators read them: one line each, in the text form that scrapers know. No I/O.
+
+use std::fmt::Write as _;
+
+use crate::gateway::Counts;
+
+/// What every figure's name begins with.
+const PREFIX: &str = "edge_lb";
+
+/// What one front's core says of itself at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Counts by class, with the class's name.
+    pub classes: Vec<(String, Counts)>,
+    /// Calls taken and not yet ended.
+    pub in_flight: usize,
+    /// Setup servers in the list.
+    pub servers_known: usize,
+    /// Those of them that get nothing now.
+    pub servers_excluded: usize,
+}
+
+impl Figures {
+    /// Adds another front's; a class that both have is counted together.
+    pub fn add(&mut self, other: Figures) {
+        for (name, counts) in other.classes {
+            match self.classes.iter_mut().find(|(n, _)| *n == name) {
+                Some((_, held)) => held.add(&counts),
+                None => self.classes.push((name, counts)),
+            }
+        }
+        self.in_flight += other.in_flight;
+        self.servers_known += other.servers_known;
+        self.servers_excluded += other.servers_excluded;
+    }
+
+    /// The text that a scraper reads.
+    pub fn render(&self) -> String {
+        type Of = fn(&Counts) -> u64;
+        let by_class: [(&str, &str, Of); 4] = [
+            ("served_total", "Calls that were set up.", |c| c.served),
+            ("refused_total", "Calls that were turned away.", |c| c.refused),
+            ("failed_total", "Calls that failed.", |c| c.failed),
+            ("attempts_total", "Set-ups written whole to setup servers.", |c| c.attempts),
+        ];
+        let gauges = [
+            ("in_flight", "Calls taken and not yet ended.", self.in_flight),
+            ("setup_servers_known", "Setup servers in the list.", self.servers_known),
+            ("setup_servers_excluded", "Listed setup servers that get nothing now.", self.servers_excluded),
+        ];
+        let mut text = String::new();
+        for (name, help, of) in by_class {
+            let _ = writeln!(text, "# HELP {PREFIX}_{name} {help}\n# TYPE {PREFIX}_{name} counter");
+            for (class, counts) in &self.classes {
+                let _ = writeln!(text, "{PREFIX}_{name}{{class=\"{}\"}} {}", escaped(class), of(counts));
+            }
+        }
+        for (name, help, value) in gauges {
+            let _ = writeln!(
+                text,
+                "# HELP {PREFIX}_{name} {help}\n# TYPE {PREFIX}_{name} gauge\n{PREFIX}_{name} {value}"
+            );
+        }
+        text
+    }
+}
+
+/// A label's value: a backslash, a quote or a line end in it would end the label or the line.
+fn escaped(label: &str) -> String {
+    label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn counts(served: u64) -> Counts {
+        Counts { served, ..Counts::default() }
+    }
+
+    #[test]
+    fn each_class_is_there_from_the_start_and_labels_are_escaped() {
+        let classes = vec![("check-setup".to_string(), counts(0)), ("a\"\\\nb".to_string(), counts(3))];
+        let text = Figures { classes, in_flight: 14, ..Figures::default() }.render();
+        for line in [
+            "edge_lb_served_total{class=\"check-setup\"} 0",
+            "edge_lb_served_total{class=\"a\\\"\\\\\\nb\"} 3",
+            "edge_lb_attempts_total{class=\"check-setup\"} 0",
+            "edge_lb_in_flight 14",
+            "edge_lb_setup_servers_known 0",
+            "edge_lb_setup_servers_excluded 0",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+    }
+
+    #[test]
+    fn a_class_of_both_fronts_is_counted_together() {
+        let of = |name: &str, served| Figures {
+            classes: vec![(name.to_string(), counts(served))],
+            in_flight: 1,
+            servers_known: 2,
+            servers_excluded: 1,
+        };
+        let mut sum = of("a", 2);
+        sum.add(of("a", 3));
+        sum.add(of("b", 4));
+        assert_eq!(sum.classes, [("a".to_string(), counts(5)), ("b".to_string(), counts(4))]);
+        assert_eq!((sum.in_flight, sum.servers_known, sum.servers_excluded), (3, 6, 3));
+    }
+}
--- /dev/null
+++ b/src/operate/http.rs
@@ -0,0 +1,184 @@
+//! HTTP/1.1, as far as the operators' door needs it: one call is read out of a buffer, one answer is written. No I/O.
+
+use std::fmt::Write as _;
+
+/// The longest head, in bytes.
+pub const HEAD_BYTES: usize = 4 * 1024;
+/// The longest body, in bytes. No call needs one; what comes is read and left aside.
+pub const BODY_BYTES: usize = 4 * 1024;
+/// More header lines than this are too many.
+const HEADERS_MOST: usize = 32;
+
+/// What stands in a connection's buffer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// Not a whole call yet.
+    More,
+    /// A call: its method, and its path without the query.
+    Call(String, String),
+    /// No call, and the status that says why.
+    Bad(u16),
+}
+
+/// Reads a call; its body, if it has one, must have come whole.
+pub fn read(buffer: &[u8]) -> Read {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut request = httparse::Request::new(&mut headers);
+    let head = match request.parse(buffer) {
+        Ok(httparse::Status::Complete(size)) if size <= HEAD_BYTES => size,
+        Ok(httparse::Status::Partial) if buffer.len() < HEAD_BYTES => return Read::More,
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Read::Bad(431),
+        Err(httparse::Error::Version) => return Read::Bad(505),
+        Err(_) => return Read::Bad(400),
+    };
+    let mut body = None;
+    for header in request.headers.iter() {
+        if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Read::Bad(411);
+        }
+        if header.name.eq_ignore_ascii_case("expect") {
+            return Read::Bad(417);
+        }
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let digits = header.value.trim_ascii();
+            if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+                return Read::Bad(400);
+            }
+            let size = std::str::from_utf8(digits).ok().and_then(|d| d.parse::<usize>().ok());
+            // Two lengths that differ would leave open where the call ends.
+            if body.is_some_and(|b| b != size) {
+                return Read::Bad(400);
+            }
+            body = Some(size);
+        }
+    }
+    let size = match body {
+        None => 0,
+        Some(Some(size)) if size <= BODY_BYTES => size,
+        Some(_) => return Read::Bad(413),
+    };
+    if buffer.len() < head + size {
+        return Read::More;
+    }
+    let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+    let path = target.split(['?', '#']).next().unwrap_or_default();
+    Read::Call(method.to_string(), path.to_string())
+}
+
+/// One answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Methods that would do, where the call's does not.
+    pub allow: Option<&'static str>,
+    /// Its text.
+    pub body: String,
+}
+
+impl Answer {
+    /// An answer with a line of text.
+    pub fn new(status: u16, text: impl Into<String>) -> Answer {
+        Answer { status, allow: None, body: text.into() }
+    }
+
+    /// An answer that says no more than its status does.
+    pub fn plain(status: u16) -> Answer {
+        Answer::new(status, format!("{}\n", reason(status)))
+    }
+
+    /// As it goes out; the body is left out where the call was HEAD.
+    pub fn to_bytes(&self, head_only: bool) -> Vec<u8> {
+        let mut text = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        if let Some(allow) = self.allow {
+            let _ = write!(text, "Allow: {allow}\r\n");
+        }
+        let _ = write!(
+            text,
+            "Content-Type: text/plain; version=0.0.4; charset=utf-8\r\nContent-Length: {}\r\n\
+             Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+            self.body.len()
+        );
+        if !head_only {
+            text.push_str(&self.body);
+        }
+        text.into_bytes()
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        505 => "HTTP Version Not Supported",
+        _ => "Error",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+    use rstest::rstest;
+
+    use super::*;
+
+    fn call(method: &str, path: &str) -> Read {
+        Read::Call(method.to_string(), path.to_string())
+    }
+
+    #[rstest]
+    #[case::plain("GET /control/ready HTTP/1.1\r\nHost: a\r\n\r\n", call("GET", "/control/ready"))]
+    #[case::query("GET /control/ready?x=1 HTTP/1.1\r\n\r\n", call("GET", "/control/ready"))]
+    #[case::body("PUT /a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", call("PUT", "/a"))]
+    #[case::same_length_twice(
+        "PUT /a HTTP/1.1\r\nContent-Length: 0\r\ncontent-length: 0\r\n\r\n",
+        call("PUT", "/a")
+    )]
+    #[case::half_a_head("GET /control/ready HT", Read::More)]
+    #[case::half_a_body("PUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\n{}", Read::More)]
+    #[case::no_http("{\"verb\":\"ECHO\"}\n\n", Read::Bad(400))]
+    #[case::other_version("GET / HTTP/3.0\r\n\r\n", Read::Bad(505))]
+    #[case::long_body("PUT /a HTTP/1.1\r\nContent-Length: 4097\r\n\r\n", Read::Bad(413))]
+    #[case::huge_body("PUT /a HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", Read::Bad(413))]
+    #[case::negative_body("PUT /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Read::Bad(400))]
+    #[case::two_lengths("PUT /a HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 9\r\n\r\n", Read::Bad(400))]
+    #[case::chunked("PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", Read::Bad(411))]
+    #[case::expects("PUT /a HTTP/1.1\r\nExpect: 100-continue\r\n\r\n", Read::Bad(417))]
+    fn calls_are_read(#[case] text: &str, #[case] wanted: Read) {
+        assert_eq!(read(text.as_bytes()), wanted);
+    }
+
+    #[rstest]
+    #[case::endless_line("GET /", "a", 1)]
+    #[case::endless_headers("GET / HTTP/1.1\r\n", "X: y\r\n", 1)]
+    fn a_head_without_an_end_is_refused(#[case] start: &str, #[case] more: &str, #[case] least: usize) {
+        let mut text = start.to_string();
+        while read(text.as_bytes()) == Read::More {
+            text.push_str(more);
+            assert!(text.len() <= HEAD_BYTES + more.len(), "it is read for ever");
+        }
+        assert_eq!(read(text.as_bytes()), Read::Bad(431));
+        assert!(text.len() > least);
+    }
+
+    proptest! {
+        /// Whatever comes, a byte at a time, is read the same as at once, and never brings the reader down.
+        #[test]
+        fn pieces_make_no_difference(text in "(GET|PUT) /[a-z]{0,9} HTTP/1.[01]\r\n([A-Za-z-]{1,9}: [ -~]{0,9}\r\n){0,3}\r\n",
+                                     noise in proptest::collection::vec(any::<u8>(), 0..40)) {
+            let whole = read(text.as_bytes());
+            let first = (1..=text.len()).map(|n| read(&text.as_bytes()[..n])).find(|r| *r != Read::More);
+            prop_assert_eq!(first.unwrap_or(Read::More), whole);
+            let _ = read(&noise);
+        }
+    }
+}
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -37,9 +37,11 @@
 pub struct Caller {
     /// Its name on the wire.
     pub tag: Tag,
+    /// Its class's place in the settings.
+    pub class: usize,
     /// The class and the number called as they came, in JSON.
-    pub class: Box<str>,
-    /// See `class`.
+    pub class_text: Box<str>,
+    /// See `class_text`.
     pub key: Box<str>,
     link: LinkId,
     peer: IpAddr,
@@ -153,7 +155,7 @@
             }
             (Verb::Finished, Some(tag)) => self.clients.heard(id, tag),
             (Verb::Echo, Some(tag)) => {
-                let passed = i64::from(!self.host.stopping());
+                let passed = i64::from(self.host.service.takes_clients());
                 self.clients.write(id, &encode("ECHOED", tag, &[], Some(passed), None));
             }
             _ => {}
@@ -280,7 +282,8 @@
         self.next_call += 1;
         let call = CallId(self.next_call);
         let raw = |key| line.raw(key).unwrap_or_default().into();
-        let caller = Caller { tag, class: raw("class"), key: raw("key"), link: id, peer: link.peer };
+        let (class_text, key_text) = (raw("class"), raw("key"));
+        let caller = Caller { tag, class, class_text, key: key_text, link: id, peer: link.peer };
         link.open.insert(call);
         link.used = Some(clock::now());
         self.record.note(clock::now(), call, Step::CameOn(id));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,6 +20,7 @@
 use crate::host::{self, Front as _, Host};
 use crate::limits::{Live, Plan};
 use crate::list::{Directory, Listed, resolver};
+use crate::operate::Desk;
 use crate::{ListScope, Micros, Outcome};
 
 use clients::Clients;
@@ -45,6 +46,7 @@
     config: Config,
     resolver: watch::Receiver<SocketAddr>,
     plan: host::Plans,
+    desk: Rc<Desk>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen).await;
@@ -62,7 +64,7 @@
             host::follow_plan(&front, plan)
         )
     };
-    host::run(front.clone(), tasks, stop).await;
+    host::run(front.clone(), desk, tasks, stop).await;
     Ok(())
 }
 
@@ -77,7 +79,8 @@
 impl Front {
     fn start(config: &Config, plan: Option<Rc<Plan>>) -> Shared {
         let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
-        let host = Host::new(Gateway::with(config.settings.clone(), limits, config.seed));
+        let host =
+            Host::new(Gateway::with(config.settings.clone(), limits, config.seed), config.classes.clone());
         let record = host.record.clone();
         let classes = config.classes.clone();
         let longest_wait = config.patience.iter().copied().max().unwrap_or(0);
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -54,7 +54,15 @@
 
 /// A set-up or a probe that waits for its connection: it is being dialled, or its peer is slow to read.
 enum Held {
-    SetUp { attempt: AttemptId, until: Micros, tag: Tag, class: Box<str>, key: Box<str>, blob: Bytes },
+    SetUp {
+        attempt: AttemptId,
+        until: Micros,
+        tag: Tag,
+        /// Its place in the settings, and as it goes out.
+        class: (usize, Box<str>),
+        key: Box<str>,
+        blob: Bytes,
+    },
     Probe(Tag),
     Release(Tag),
 }
@@ -69,6 +77,8 @@
     open: HashSet<Tag>,
     /// Since when something has been awaited and nothing heard.
     silent_since: Option<Micros>,
+    /// Where set-ups end in its outbox that are not written whole yet, and their classes.
+    writing: VecDeque<(u64, usize)>,
     /// Set-ups given up on it, whose answers may still come.
     given_up: VecDeque<(Micros, Tag)>,
     /// Releases written on it that the server has not said it heard.
@@ -137,7 +147,11 @@
         front.borrow_mut().server_says(id, line);
         true
     };
-    let on_drained = || front.borrow_mut().servers.flush(id);
+    let on_drained = || {
+        let mut front = front.borrow_mut();
+        front.count_written(id);
+        front.servers.flush(id);
+    };
     let ended = link::run(stream, outbox, WHOLE, reader(on_line), on_drained).await;
     tracing::debug!(target: "link", id, %address, ?ended, "a server's connection has ended");
     front.borrow_mut().link_ended(id);
@@ -148,7 +162,7 @@
     pub(super) fn send(&mut self, attempt: AttemptId, server: ServerId, left: Micros, blob: Bytes) {
         let now = clock::now();
         let Some(caller) = self.clients.caller(attempt.call) else { return };
-        let (tag, class, key) = (caller.tag, caller.class.clone(), caller.key.clone());
+        let (tag, class, key) = (caller.tag, (caller.class, caller.class_text.clone()), caller.key.clone());
         let Some(id) = self.usable_link(server, tag, now) else {
             let (outcome, cause) = (Outcome::Unreachable, Cause::Untold);
             return self.host.inputs.push_back(Input::Ended {
@@ -228,6 +242,7 @@
             held: Vec::new(),
             open: HashSet::new(),
             silent_since: None,
+            writing: VecDeque::new(),
             given_up: VecDeque::new(),
             releasing: VecDeque::new(),
             heard: now,
@@ -283,7 +298,17 @@
         }
     }
 
+    /// Counts the set-ups whose last byte the system has taken.
+    fn count_written(&mut self, id: LinkId) {
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        while let Some((_, class)) = link.writing.front().filter(|(end, _)| *end <= link.outbox.written()) {
+            self.host.gateway.attempt_written(*class);
+            link.writing.pop_front();
+        }
+    }
+
     fn link_ended(&mut self, id: LinkId) {
+        self.count_written(id);
         let Some(mut link) = self.servers.links.remove(&id) else { return };
         if self.servers.has_standing(link.server) {
             // A server says the end of a call where the call was set up, or on any open connection, and again on the
@@ -545,12 +570,14 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.up && l.outbox.is_empty()) else { return };
         for item in std::mem::take(&mut link.held) {
             let message = match item {
-                Held::SetUp { until, tag, class, key, blob, .. } => {
+                Held::SetUp { until, tag, class: (class, text), key, blob, .. } => {
                     link.open.insert(tag);
                     link.awaits(now);
                     let left = format!("\"{}\"", until.saturating_sub(now) / 1000);
-                    let opts = [("class", &*class), ("left", &*left), ("key", &*key)];
-                    encode("START", tag, &opts, None, Some(&blob))
+                    let opts = [("class", &*text), ("left", &*left), ("key", &*key)];
+                    let message = encode("START", tag, &opts, None, Some(&blob));
+                    link.writing.push_back((link.outbox.end() + message.len() as u64, class));
+                    message
                 }
                 Held::Probe(tag) => {
                     link.awaits(now);
--- a/src/sip/clients.rs
+++ b/src/sip/clients.rs
@@ -19,6 +19,8 @@
 pub(super) struct Caller {
     key: ServerKey,
     pub(super) request: Rc<Message>,
+    /// Its class's place in the settings.
+    pub(super) class: usize,
     peer: Peer,
     tag: String,
     due: Micros,
@@ -145,6 +147,7 @@
             peer: transaction.peer,
             key,
             request,
+            class,
             tag,
             due: now + left,
             last_code: None,
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -27,6 +27,7 @@
 use crate::host::{self, Front as _, Host};
 use crate::limits::{Live, Plan};
 use crate::list::{Directory, Listed, resolver};
+use crate::operate::Desk;
 use crate::{CallId, ListScope, Micros, ServerId};
 
 use clients::Caller;
@@ -112,6 +113,7 @@
     config: SipConfig,
     resolver: watch::Receiver<SocketAddr>,
     plan: host::Plans,
+    desk: Rc<Desk>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let named = |what: &str, e: std::io::Error| format!("cannot listen on {what}: {e}");
@@ -138,14 +140,15 @@
             host::follow_plan(&front, plan)
         )
     };
-    host::run(front.clone(), tasks, stop).await;
+    host::run(front.clone(), desk, tasks, stop).await;
     Ok(())
 }
 
 impl Front {
     fn start(config: &SipConfig, plan: Option<Rc<Plan>>, transport: Transport) -> Shared {
         let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
-        let host = Host::new(Gateway::with(config.settings.clone(), limits, config.seed));
+        let host =
+            Host::new(Gateway::with(config.settings.clone(), limits, config.seed), config.classes.clone());
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
                 host,
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -47,7 +47,7 @@
 impl Front {
     pub(super) fn invite(&mut self, attempt: AttemptId, server: ServerId, left: Micros, body: Bytes) {
         let Some(caller) = self.callers.get(&attempt.call) else { return };
-        let request = caller.request.clone();
+        let (request, class) = (caller.request.clone(), caller.class);
         let Some(to) = self.directory.address(server) else {
             return self.host.inputs.push_back(ended(attempt, Outcome::Unreachable, Cause::Untold));
         };
@@ -95,6 +95,7 @@
         self.legs.insert(attempt, leg);
         self.dialogs.insert((call_id, tag), Owner::Leg(attempt));
         self.start_client(peer, invite, Purpose::Invite(attempt), branch);
+        self.host.gateway.attempt_written(class);
     }
 
     /// Asks a server whether it is there.
