--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,6 @@
 //! The last guards, each made to fire by asking for what the module never asks for.
 
+use proptest::prelude::*;
 use rstest::{fixture, rstest};
 
 use super::book::Out;
@@ -174,3 +175,111 @@
     assert_eq!(out, [given_up, Command::Fail { call: CALL }, Command::Refuse { call: CallId(2), wait: 0 }]);
     assert_eq!((bench.gateway.open_calls(), bench.gateway.next_due().is_some()), (0, true));
 }
+
+/// What may happen to a random call at a random time.
+#[derive(Clone, Debug)]
+enum Happens {
+    SetUp { left: Micros, class: usize },
+    Stands(u64),
+    Ended(u64, Outcome),
+    GivenUp(u64),
+    HungUp(u64),
+    Lost(u32),
+    Unheard(u32),
+    Passes(Micros),
+}
+
+fn happens() -> impl Strategy<Value = Happens> {
+    let call = 0..40u64;
+    let outcome = prop_oneof![
+        Just(Outcome::Completed),
+        Just(Outcome::Failed),
+        Just(Outcome::Full),
+        Just(Outcome::Cut),
+        Just(Outcome::Unreachable),
+        Just(Outcome::Void),
+    ];
+    prop_oneof![
+        4 => (1..3_000u64, 0..3usize).prop_map(|(ms, class)| Happens::SetUp { left: ms * MS, class }),
+        3 => call.clone().prop_map(Happens::Stands),
+        3 => (call.clone(), outcome).prop_map(|(call, outcome)| Happens::Ended(call, outcome)),
+        1 => call.clone().prop_map(Happens::GivenUp),
+        1 => call.prop_map(Happens::HungUp),
+        1 => (0..2u32).prop_map(Happens::Lost),
+        1 => (0..2u32).prop_map(Happens::Unheard),
+        3 => (1..900u64).prop_map(|ms| Happens::Passes(ms * MS)),
+    ]
+}
+
+proptest! {
+    /// Over any schedule each call that was taken is in one count or in flight, each final answer is counted as what it
+    /// said, and nothing falls.
+    #[test]
+    fn each_call_is_counted_once(schedule in proptest::collection::vec(happens(), 1..120)) {
+        let class = Class { aim: 2_000 * MS, worth: 1.0, late_worth: 0.25, pools: None, repeatable: true };
+        let rules = Rules { drain_grace: 250 * MS, release_wait: 500 * MS, ..Rules::default() };
+        let classes = vec![class.clone(), class];
+        let set = Settings { fronts: 1, classes, tick: 5 * MS, max_attempts: 4, rules, ..Settings::default() };
+        let mut bench = Bench { gateway: Gateway::new(set, 7), now: 1_000_000 * MS, out: Vec::new() };
+        bench.list(ListScope::Whole, &[(0, Status::Up), (1, Status::Up)]);
+        let (mut last, mut taken, mut unknown) = (vec![Counts::default(); 2], 0u64, 0u64);
+        // What went out: the latest attempt of each call, and the answers.
+        let mut attempts = std::collections::HashMap::new();
+        let (mut answers, mut refusals, mut failures) = (0u64, 0u64, 0u64);
+        for step in schedule.into_iter().map(Some).chain([None]) {
+            let (cause, load) = (Cause::Untold, LoadReport::default());
+            let attempt = |call: u64| attempts.get(&CallId(call)).copied();
+            let since = bench.now;
+            let input = match step {
+                Some(Happens::SetUp { left, class }) => {
+                    taken += 1;
+                    unknown += u64::from(class > 1);
+                    let call = CallId(taken);
+                    let (name, dialled) = (taken.to_string().into(), "5".into());
+                    let (number, first_choice, description) = (Number(taken), PoolId(0), Bytes::new());
+                    Input::SetUp(SetUp { call, name, class, number, dialled, first_choice, left, again: false, description })
+                }
+                Some(Happens::Stands(call)) => match attempt(call) {
+                    Some(attempt) => Input::Stands { attempt, description: Bytes::new() },
+                    None => continue,
+                },
+                Some(Happens::Ended(call, outcome)) => match attempt(call) {
+                    Some(attempt) => Input::Ended { attempt, outcome, cause, load },
+                    None => continue,
+                },
+                Some(Happens::GivenUp(call)) => Input::GivenUp(CallId(call)),
+                Some(Happens::HungUp(call)) => Input::HungUp(CallId(call)),
+                Some(Happens::Lost(server)) => Input::Lost { server: ServerId(server), at: since },
+                Some(Happens::Unheard(server)) => Input::Unheard { server: ServerId(server), since },
+                Some(Happens::Passes(by)) => {
+                    bench.now += by;
+                    Input::Tick
+                }
+                None => Input::Close,
+            };
+            for command in bench.see(input) {
+                match command {
+                    Command::Send { attempt, .. } => drop(attempts.insert(attempt.call, attempt)),
+                    Command::Answer { .. } => answers += 1,
+                    Command::Refuse { .. } => refusals += 1,
+                    Command::Fail { .. } => failures += 1,
+                    _ => {}
+                }
+            }
+            let counts = bench.gateway.counts().to_vec();
+            let mut sum = Counts::default();
+            for (now, was) in counts.iter().zip(&last) {
+                let of = |c: &Counts| [c.taken, c.served, c.refused, c.failed, c.withdrawn];
+                prop_assert!(of(now).iter().zip(of(was)).all(|(now, was)| *now >= was), "{was:?} > {now:?}");
+                sum.add(now);
+            }
+            let open = bench.gateway.open_calls() as u64;
+            prop_assert_eq!(sum.taken, taken - unknown);
+            prop_assert_eq!(sum.taken, sum.served + sum.refused + sum.failed + sum.withdrawn + open);
+            // A call of a class that does not exist fails at once, and is in no count.
+            prop_assert_eq!([sum.served, sum.refused, sum.failed], [answers, refusals, failures - unknown]);
+            last = counts;
+        }
+        prop_assert_eq!(bench.gateway.open_calls() + bench.gateway.standing_calls(), 0);
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -103,6 +103,18 @@
         (program, address)
     }
 
+    /// A gatekeeper on the platform's protocol with a door for operators: the clients' address and the door's.
+    pub fn with_door(resolver: &Resolver) -> (Program, SocketAddr, SocketAddr) {
+        let mut config = Program::platform_config(resolver, settings());
+        config["ops"] = json!("127.0.0.1:0");
+        let mut program = Program::start(&[("--config", config)]);
+        let address_in =
+            |line: String| line.split(['=', ' ', '\n']).find_map(|word| word.parse().ok()).unwrap();
+        let door = address_in(program.logged("operators connect here"));
+        let gate = address_in(program.logged(" serves "));
+        (program, gate, door)
+    }
+
     /// A gatekeeper that is told of so few descriptors, and is given no more.
     pub fn platform_within(resolver: &Resolver, sockets: u32) -> (Program, SocketAddr) {
         let mut config = Program::platform_config(resolver, settings());
