Drain: send clients away, keep connections by which calls stand until those are over

Change: the service's state (src/operate/service.rs), a connection ends when nothing is open or stands on it, new calls turned away from 1.2 s on.

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -23,6 +23,9 @@
         if class >= self.set.classes.len() {
             return self.fail(call, out);
         }
+        if let Some(wait) = self.away {
+            return self.refuse(call, wait, out);
+        }
         let asked = Asked { class, pool: first_choice.0, number: &dialled, left };
         let held = match self.limits.take(self.now, asked) {
             Ok(held) => held,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -202,6 +202,8 @@
     /// What the module is still to be told.
     news: VecDeque<Event>,
     actions: Vec<Action>,
+    /// New calls are turned away, to come again after this.
+    away: Option<Micros>,
     now: Micros,
 }
 
@@ -222,6 +224,7 @@
             timers: BTreeSet::new(),
             news: VecDeque::new(),
             actions: Vec::new(),
+            away: None,
             now: 0,
             set,
         }
@@ -279,6 +282,11 @@
         self.book.standing()
     }
 
+    /// From now on new calls are turned away, to come again after a while; or taken, with `None`.
+    pub fn turn_away(&mut self, away: Option<Micros>) {
+        self.away = away;
+    }
+
     /// What became of the calls so far, by class.
     pub fn counts(&self) -> &[Counts] {
         self.book.tally.counts()
--- a/src/operate/service.rs
+++ b/src/operate/service.rs
@@ -2,6 +2,15 @@
 
 use crate::Micros;
 
+/// From the order on, fronts may still send new connections for this long: they ask ten times a second, and stop 0.2 s
+/// after a no. What is closed earlier only comes again.
+const SETTLE: Micros = 400_000;
+/// From here on a connection that is never idle is made to fall idle: 4 s after the order it must have been without a
+/// request for 2 s.
+const TURN_AWAY: Micros = 1_200_000;
+/// When a call that is turned away may come again; it will find another gatekeeper.
+const COME_BACK: Micros = 100_000;
+
 /// What a front does for clients.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Service {
@@ -32,9 +41,16 @@
         self.stopping
     }
 
-    /// Since when clients are being sent away by the operators.
-    pub fn out(&self) -> Option<Micros> {
-        self.out
+    /// Clients' connections are to be closed where nothing is open on them.
+    pub fn sheds(&self, now: Micros) -> bool {
+        self.out.is_some_and(|since| now >= since + SETTLE)
+    }
+
+    /// New calls are turned away, with when they may come again. `at_once`: there are no connections that clients
+    /// keep to this gatekeeper, so nothing else has to come first.
+    pub fn turns_away(&self, now: Micros, at_once: bool) -> Option<Micros> {
+        let after = if at_once { 0 } else { TURN_AWAY };
+        self.out.filter(|since| now >= since + after).map(|_| COME_BACK)
     }
 }
 
@@ -48,11 +64,16 @@
         assert!(service.takes_clients());
         service.order(5, true);
         service.order(9, true);
-        assert_eq!((service.out(), service.takes_clients()), (Some(5), false));
+        assert!(!service.takes_clients());
+        assert_eq!((service.sheds(4 + SETTLE), service.sheds(5 + SETTLE)), (false, true));
+        assert_eq!(service.turns_away(4 + TURN_AWAY, false), None);
+        assert_eq!(service.turns_away(5 + TURN_AWAY, false), Some(COME_BACK));
+        assert_eq!(service.turns_away(5, true), Some(COME_BACK));
         service.order(11, false);
         assert!(service.takes_clients());
         service.order(12, false);
         assert!(service.takes_clients());
+        assert!(!service.sheds(Micros::MAX) && service.turns_away(Micros::MAX, true).is_none());
     }
 
     #[test]
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -52,6 +52,8 @@
     peer: IpAddr,
     /// Calls set up on it and not answered yet: its end gives them up.
     open: BTreeSet<CallId>,
+    /// Calls set up on it that stand: their releases go out on it first.
+    stand: BTreeSet<CallId>,
     opened: Micros,
     /// When a set-up was last taken on it, or answered; `None`: never.
     used: Option<Micros>,
@@ -125,6 +127,7 @@
         outbox: outbox.clone(),
         peer,
         open: BTreeSet::new(),
+        stand: BTreeSet::new(),
         opened,
         used: None,
         telling: HashMap::new(),
@@ -245,6 +248,13 @@
         true
     }
 
+    /// Closes every connection on which nothing is open or stands.
+    pub(super) fn close_idle(&mut self) {
+        for link in self.links.values().filter(|l| l.may_close() && l.stand.is_empty()) {
+            link.outbox.close();
+        }
+    }
+
     /// Closes connections of no use, and lets go of what is owed no more.
     pub(super) fn care(&mut self, now: Micros) {
         self.let_go(now);
@@ -302,6 +312,7 @@
         self.write(id, &message);
         if let Some(link) = self.links.get_mut(&id) {
             link.open.remove(&call);
+            link.stand.insert(call);
         }
         self.was_used(id);
     }
@@ -432,6 +443,7 @@
         self.tags.remove(&caller.tag);
         if let Some(link) = self.links.get_mut(&caller.link) {
             link.open.remove(&call);
+            link.stand.remove(&call);
         }
         Some(caller)
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -105,6 +105,13 @@
         self.next_link
     }
 
+    /// Out of service: a client's connection ends as soon as nothing is open on it.
+    fn send_away(&mut self, now: Micros) {
+        if self.host.service.sheds(now) {
+            self.clients.close_idle();
+        }
+    }
+
     fn take_list(&mut self, told: Micros, scope: ListScope, list: Vec<Listed>) {
         let now = clock::now();
         let (entries, changes) = self.directory.learn(scope, list);
@@ -137,9 +144,18 @@
             }
             Command::GiveUp { attempt, .. } => self.servers.give_up(attempt),
             Command::Release { attempt, server } => self.release(attempt, server),
-            Command::Answer { call, description } => self.clients.answer(call, &description),
-            Command::Refuse { call, wait } => self.clients.refuse(call, wait),
-            Command::Fail { call } => self.clients.fail(call),
+            Command::Answer { call, description } => {
+                self.clients.answer(call, &description);
+                self.send_away(clock::now());
+            }
+            Command::Refuse { call, wait } => {
+                self.clients.refuse(call, wait);
+                self.send_away(clock::now());
+            }
+            Command::Fail { call } => {
+                self.clients.fail(call);
+                self.send_away(clock::now());
+            }
             Command::Over { call, outcome } => {
                 self.servers.forget(call);
                 self.clients.over(call, outcome == Outcome::Completed);
@@ -151,7 +167,9 @@
     }
 
     fn care(&mut self, now: Micros) {
+        self.host.gateway.turn_away(self.host.service.turns_away(now, false));
         self.clients.care(now);
         self.care_for_servers(now);
+        self.send_away(now);
     }
 }
--- a/src/sip/clients.rs
+++ b/src/sip/clients.rs
@@ -78,6 +78,7 @@
             }
             ("INVITE", None) if hops == Some(0) => 483,
             ("INVITE", None) => return self.invited(key, request),
+            ("OPTIONS", None) if !self.host.service.takes_clients() => 503,
             ("OPTIONS", None) => 200,
             ("BYE", None) => 481,
             _ => 405,
@@ -102,6 +103,9 @@
         if matches!(code, 200 | 405) {
             response.add("Allow", ALLOW);
         }
+        if code == 503 {
+            response.add("Retry-After", "1"); // seconds, the least that can be said
+        }
         response
     }
 
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -339,6 +339,7 @@
     }
 
     fn care(&mut self, now: Micros) {
+        self.host.gateway.turn_away(self.host.service.turns_away(now, true));
         self.care_for_transactions(now);
         self.care_for_callers(now);
         self.care_for_legs(now);
