Let a second process listen at the clients' address beside the first

Change: link::listen sets SO_REUSEPORT through tokio's own socket; where the system refuses it, one listener as before.

--- a/src/link.rs
+++ b/src/link.rs
@@ -3,21 +3,36 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 /// Most bytes that wait for a peer to read them; a peer that lets more pile up is cut off.
 const BACKLOG_BYTES: usize = 256 * 1024;
+/// Connections that wait to be accepted, at most.
+const BACKLOG: u32 = 1024;
 /// The buffer grows from here to what its messages need.
 const FIRST_BYTES: usize = 2 * 1024;
 
+/// A listener at an address that a second process of the same user may listen at too: at an upgrade the new one starts
+/// beside the old one.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if let Err(e) = socket.set_reuseport(true) {
+        tracing::warn!(error = %e, "no second process can listen beside this one: upgrades will refuse connections");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// What is to be written to a connection.
 #[derive(Default)]
 pub struct Outbox {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::clock;
@@ -19,6 +18,7 @@
 use crate::gateway::{Command, Gateway, Input};
 use crate::host::{self, Front as _, Host};
 use crate::limits::{Live, Plan};
+use crate::link;
 use crate::list::{Directory, Listed, resolver};
 use crate::operate::Desk;
 use crate::{ListScope, Micros, Outcome};
@@ -49,7 +49,7 @@
     desk: Rc<Desk>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = link::listen(config.listen);
     let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     tracing::info!(name = config.name, listen = %address, "serves");
