Hand an upgrade over: orderly end of the listener, standing calls to the new process

Change: src/operate/handover.rs (words and roles, pure), src/platform/sibling.rs (Unix socket in TMPDIR), the end with a successor in service.rs; callers' connections end in a pause; what comes in the last words is turned away; rate and open caps are shared.

--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -98,6 +98,26 @@
         true
     }
 
+    /// Takes a call that stands already; false if it is in the book. It was counted where it was answered.
+    pub fn adopt(&mut self, call: CallId, name: Box<str>, class: usize, at: Out) -> bool {
+        if self.calls.contains_key(&call) {
+            return false;
+        }
+        let entry = Entry {
+            state: State::Stands(at),
+            name,
+            class,
+            due: 0,
+            attempts: at.number + 1,
+            wait_until: 0,
+            description: Bytes::new(),
+            held: None,
+        };
+        self.calls.insert(call, entry);
+        self.standing += 1;
+        true
+    }
+
     /// Until when a call of this name may not go out, if an earlier one's attempt may still hold something.
     pub fn rests_until(&mut self, name: &str, now: Micros) -> Option<Micros> {
         while self.rests.front().is_some_and(|(until, _)| *until <= now) {
@@ -209,6 +229,12 @@
         self.calls.keys().copied().collect()
     }
 
+    /// Calls that stand.
+    pub fn standing_ones(&self) -> Vec<CallId> {
+        let stands = |(_, entry): &(&CallId, &Entry)| matches!(entry.state, State::Stands(_));
+        self.calls.iter().filter(stands).map(|(call, _)| *call).collect()
+    }
+
     /// How many are owed an answer.
     pub fn open(&self) -> usize {
         self.calls.len() - self.standing
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -119,6 +119,19 @@
         /// When it was last heard.
         since: Micros,
     },
+    /// A call that stands at a server comes from another process of this gatekeeper.
+    Adopted {
+        /// The attempt by which it stands here.
+        attempt: AttemptId,
+        /// Its name on the wire.
+        name: Box<str>,
+        /// Place of its class in the settings.
+        class: usize,
+        /// Where it stands.
+        server: ServerId,
+    },
+    /// A call that stands is another process's from now on: nothing is released, nobody is told.
+    HandedOver(CallId),
     /// Other limits from now on.
     Limits(Rc<Plan>),
     /// Time has passed; the next input is wanted by [`Gateway::next_due`].
@@ -242,6 +255,7 @@
                 self.ended(attempt, outcome, cause, load, out);
             }
             Input::Load { server, answered, load } => {
+                self.route.heard(self.now, server, &load);
                 self.news.push_back(Event::Load { server, answered, load });
             }
             Input::List { told, scope, entries } => {
@@ -250,6 +264,17 @@
             }
             Input::Lost { server, at } => self.lost(server, at, out),
             Input::Unheard { server, since } => self.unheard(server, since, out),
+            Input::Adopted { attempt, name, class, server } => {
+                let at = book::Out { number: attempt.number, server, sent: self.now, until: self.now };
+                if !self.book.adopt(attempt.call, name, class, at) {
+                    out.push(Command::Warn(format!("relay: call {} was adopted twice", attempt.call.0)));
+                }
+            }
+            Input::HandedOver(call) => {
+                if self.book.get(call).is_some_and(|e| matches!(e.state, book::State::Stands(_))) {
+                    self.book.close(call, 0, tally::End::Over);
+                }
+            }
             Input::Limits(plan) => self.limits.replace(self.now, plan),
             Input::Tick => {}
             Input::Close => return self.close(out),
@@ -306,6 +331,23 @@
         (listed.len(), avoided)
     }
 
+    /// Calls that stand.
+    pub fn standing(&self) -> Vec<CallId> {
+        self.book.standing_ones()
+    }
+
+    /// What is known of a server for another process of this gatekeeper: whether it is silent, when it last told which
+    /// wait in milliseconds, and since when it drains.
+    pub fn known_of(&self, server: ServerId) -> (bool, Option<(Micros, f64)>, Option<Micros>) {
+        let silent = self.module.gauge(server).is_some_and(|g| g.silent);
+        (silent, self.route.report(server), self.route.drains_since(server))
+    }
+
+    /// Another process of this gatekeeper takes calls too, or does no longer.
+    pub fn share(&mut self, shared: bool) {
+        self.limits.share(self.now, shared);
+    }
+
     /// Tells the module its news and carries its actions out, until neither is left.
     fn settle(&mut self, out: &mut Vec<Command>) {
         while let Some(event) = self.news.pop_front() {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -37,6 +37,7 @@
     ) {
         let call = attempt.call;
         let Some((state, at)) = self.held(attempt) else { return };
+        self.route.heard(self.now, at.server, &load);
         if let State::Stands(_) = state {
             let rest = if outcome == Outcome::Completed { 0 } else { self.now + self.set.rules.release_wait };
             self.book.close(call, rest, End::Over);
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use crate::{ListScope, Micros, ServerEntry, ServerId, Status};
+use crate::{ListScope, LoadReport, Micros, ServerEntry, ServerId, Status};
 
 /// The servers as last told. The module chooses among them; this is what its choice is checked against.
 #[derive(Default)]
 pub struct Route {
     /// Status, and when it was first told that the server drains or is gone.
     servers: BTreeMap<ServerId, (Status, Micros)>,
+    /// The wait that a listed server told last, in milliseconds, and when.
+    waits: BTreeMap<ServerId, (Micros, f64)>,
 }
 
 impl Route {
@@ -25,6 +27,8 @@
             let held = self.servers.entry(e.server).or_insert((Status::Up, now));
             *held = turned(*held, e.status, now);
         }
+        let servers = &self.servers;
+        self.waits.retain(|id, _| servers.get(id).is_some_and(|(status, _)| *status != Status::Removed));
     }
 
     /// The servers that are in the list, and whether they take calls by its word.
@@ -33,6 +37,25 @@
         listed.map(|(id, (status, _))| (*id, *status == Status::Up))
     }
 
+    /// A server tells its load.
+    pub fn heard(&mut self, now: Micros, server: ServerId, load: &LoadReport) {
+        if let (Some(wait), Some((Status::Up | Status::Draining, _))) =
+            (load.wait_ms, self.servers.get(&server))
+        {
+            self.waits.insert(server, (now, wait));
+        }
+    }
+
+    /// The wait that a server told last, in milliseconds, and when.
+    pub fn report(&self, server: ServerId) -> Option<(Micros, f64)> {
+        self.waits.get(&server).copied()
+    }
+
+    /// Since when a server is known to drain or to be gone.
+    pub fn drains_since(&self, server: ServerId) -> Option<Micros> {
+        self.servers.get(&server).filter(|(status, _)| *status != Status::Up).map(|(_, told)| *told)
+    }
+
     /// May a set-up still go there? From the news that a server drains or is gone, `grace` remains at most;
     /// an unlisted server gets nothing.
     pub fn open(&self, server: ServerId, now: Micros, grace: Micros) -> bool {
--- a/src/host.rs
+++ b/src/host.rs
@@ -16,11 +16,6 @@
 use crate::operate::{Desk, View};
 use crate::record::Record;
 
-/// After SIGTERM, set-ups keep coming for a while: new connections for 0.4 s, requests on open ones 0.2 s more.
-const STOP_LEAST: Micros = 850_000;
-/// Standing calls may go on this long after SIGTERM, and open ones a little longer: SIGKILL may come 3.7 s after
-/// it, however long callers wait.
-const STOP_MOST: Micros = 3_000_000;
 /// What is queued at the end may take this long to be written.
 const LAST_WORDS: Duration = Duration::from_millis(150);
 
@@ -66,14 +61,9 @@
         }
     }
 
-    /// After SIGTERM: what comes in is still answered, standing calls may come to their end, then it is over.
-    fn stopped(&self, now: Micros) -> bool {
-        let Some(since) = self.service.stopping() else { return false };
-        let (open, standing) = (self.gateway.open_calls(), self.gateway.standing_calls());
-        let gone = now.saturating_sub(since);
-        gone >= STOP_LEAST && open + standing == 0
-            || gone >= STOP_MOST && open == 0
-            || gone >= STOP_MOST + STOP_LEAST / 2
+    /// Whether the program has been told to stop and has nothing left to do.
+    fn stopped(&self, now: Micros, callers: usize) -> bool {
+        self.service.ended(now, self.gateway.open_calls(), self.gateway.standing_calls(), callers)
     }
 }
 
@@ -85,6 +75,11 @@
     /// Its core and what surrounds that.
     fn host(&mut self) -> &mut Host;
 
+    /// How many connections of callers there are that ought to go to another process.
+    fn callers(&self) -> usize {
+        0
+    }
+
     /// Carries one of the core's commands out. What comes of it for the core goes to [`Host::inputs`].
     fn carry_out(&mut self, command: Command);
 
@@ -185,7 +180,10 @@
             let mut front = front.borrow_mut();
             front.feed(Input::Tick);
             front.care(now);
-            if front.host().stopped(now) {
+            let callers = front.callers();
+            if front.host().stopped(now, callers) {
+                // Whatever still comes while the last words are written is turned away: nobody would see it through.
+                front.host().gateway.turn_away(Some(0));
                 return front.feed(Input::Close);
             }
             front.host().gateway.next_due().unwrap_or(Micros::MAX).min(now + F::CARE)
--- a/src/limits/live.rs
+++ b/src/limits/live.rs
@@ -21,6 +21,9 @@
 const OPEN_WAIT: Micros = 1_000_000;
 /// The longest advice where the file bounds none.
 const WAIT_MOST: Micros = 30_000_000;
+/// The part of each cap that is this process's while another of the same gatekeeper takes calls too: the two keep the
+/// caps together.
+const SHARED_PART: f64 = 0.5;
 
 /// A token bucket. What it cannot give now it promises for later, one caller after the other.
 #[derive(Debug)]
@@ -37,9 +40,11 @@
         Bucket { rate, tokens: f64::from(rate.burst_most()), at: now, promised: now }
     }
 
-    fn fill(&mut self, now: Micros) {
+    /// Earns what is due; `part` of the rate and of the burst is this process's.
+    fn fill(&mut self, now: Micros, part: f64) {
         let grown = now.saturating_sub(self.at) as f64 * self.rate.per_second / 1e6;
-        self.tokens = (self.tokens + grown).min(f64::from(self.rate.burst_most()));
+        let most = (f64::from(self.rate.burst_most()) * part).max(1.0);
+        self.tokens = (self.tokens + grown * part).min(most);
         self.at = self.at.max(now);
     }
 
@@ -111,7 +116,7 @@
         self.open_most = terms.open_calls;
         self.bucket = terms.rate.map(|rate| match self.bucket.take() {
             Some(mut bucket) => {
-                bucket.fill(now);
+                bucket.fill(now, 1.0);
                 bucket.tokens = bucket.tokens.min(f64::from(rate.burst_most()));
                 Bucket { rate, ..bucket }
             }
@@ -217,6 +222,8 @@
     /// What holds where the file says nothing, and there is no file to say something.
     bare: Option<Rc<Limits>>,
     rng: Pcg32,
+    /// Another process of the same gatekeeper takes calls too.
+    shared: bool,
     now: Micros,
 }
 
@@ -231,6 +238,7 @@
             no_levels: Rc::new([]),
             bare: None,
             rng: Pcg32::seed_from_u64(seed),
+            shared: false,
             now: 0,
         }
     }
@@ -285,6 +293,12 @@
         self.bare = None;
     }
 
+    /// Another process of the same gatekeeper takes calls too from now on, or does no longer.
+    pub fn share(&mut self, now: Micros, shared: bool) {
+        self.now = self.now.max(now);
+        self.shared = shared;
+    }
+
     /// Takes a call in, or turns it away at once.
     pub fn take(&mut self, now: Micros, asked: Asked) -> Result<Held, Refusal> {
         self.now = self.now.max(now);
@@ -301,6 +315,7 @@
             None => self.make_ready(route, asked.class, now),
         };
         let (least, most) = limits.come_back.value.map_or((1, WAIT_MOST), |c| (c.least.0, c.most.0));
+        let part = if self.shared { SHARED_PART } else { 1.0 };
         // All caps first: a call that one of them turns away takes nothing of the others.
         for level in levels.iter() {
             let level = &mut *level.borrow_mut();
@@ -309,11 +324,12 @@
                 level: level.name.clone(),
                 cap,
             };
-            if level.open_most.is_some_and(|most| level.open >= most) {
+            if level.open_most.is_some_and(|most| f64::from(level.open) >= (f64::from(most) * part).max(1.0))
+            {
                 return Err(refused(OPEN_WAIT, "open_calls"));
             }
             if let Some(bucket) = &mut level.bucket {
-                bucket.fill(now);
+                bucket.fill(now, part);
                 if bucket.tokens < 1.0 {
                     let wait = bucket.wait(now, most);
                     return Err(refused(wait, "rate"));
@@ -343,7 +359,15 @@
                 continue;
             }
             let level = name_of(&self.plan, &origin);
-            let new = || Rc::new(RefCell::new(Level::new(level.clone(), terms, now)));
+            let shared = self.shared;
+            let new = || {
+                let mut new = Level::new(level.clone(), terms, now);
+                // What there was to spend at once is the other process's.
+                if let (true, Some(bucket)) = (shared, &mut new.bucket) {
+                    bucket.tokens = 0.0;
+                }
+                Rc::new(RefCell::new(new))
+            };
             levels.push(self.levels.entry(level.clone()).or_insert_with(new).clone());
         }
         let ready: Ready = (self.plan.limits(route, name), levels.into());
--- a/src/link.rs
+++ b/src/link.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use tokio::io::AsyncReadExt;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UnixStream, tcp, unix};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
@@ -76,6 +75,11 @@
         self.written.set(self.written.get() + size as u64);
     }
 
+    /// How many bytes wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.bytes.borrow().len()
+    }
+
     /// Whether everything has been written.
     pub fn is_empty(&self) -> bool {
         self.bytes.borrow().is_empty()
@@ -93,31 +97,78 @@
     }
 }
 
+/// A stream whose two halves are moved side by side.
+pub trait Wire {
+    /// Its halves, in and out.
+    fn halves(&mut self) -> (impl AsyncRead + Unpin, impl Out);
+
+    /// Writes what the peer takes at once, at the end.
+    fn last_words(&self, bytes: &[u8]) -> io::Result<usize>;
+}
+
+/// The half of a stream that is written.
+pub trait Out {
+    /// Writes what the peer takes at once.
+    fn take(&self, bytes: &[u8]) -> io::Result<usize>;
+
+    /// Waits until the peer takes more.
+    fn ready(&self) -> impl Future<Output = io::Result<()>>;
+}
+
+macro_rules! wire {
+    ($stream:ty, $out:ty, $start:expr) => {
+        impl Wire for $stream {
+            fn halves(&mut self) -> (impl AsyncRead + Unpin, impl Out) {
+                $start(&*self);
+                self.split()
+            }
+
+            fn last_words(&self, bytes: &[u8]) -> io::Result<usize> {
+                self.try_write(bytes)
+            }
+        }
+
+        impl Out for $out {
+            fn take(&self, bytes: &[u8]) -> io::Result<usize> {
+                self.try_write(bytes)
+            }
+
+            async fn ready(&self) -> io::Result<()> {
+                self.writable().await
+            }
+        }
+    };
+}
+
+wire!(TcpStream, tcp::WriteHalf<'_>, |s: &TcpStream| drop(s.set_nodelay(true)));
+wire!(UnixStream, unix::WriteHalf<'_>, |_: &UnixStream| ());
+
 /// Moves a connection's bytes until it ends. `on_bytes` takes whole messages out of the buffer's front and leaves
 /// the rest; it returns false to end the connection. `on_drained` hears when everything queued has been written.
 /// A message that has begun must come whole within `whole`. Guards against a peer that stops in the middle of one:
 /// nothing that it says later can be read, and what is awaited there will not come.
 pub async fn run(
-    mut stream: TcpStream,
+    mut stream: impl Wire,
     outbox: Rc<Outbox>,
     whole: Duration,
     on_bytes: impl FnMut(&mut BytesMut) -> bool,
     on_drained: impl FnMut(),
 ) -> io::Result<()> {
-    let _ = stream.set_nodelay(true);
-    let (input, output) = stream.split();
-    let result = tokio::select! {
-        result = read(input, whole, on_bytes) => result,
-        result = write(output, &outbox, on_drained) => result,
+    let result = {
+        let (input, output) = stream.halves();
+        tokio::select! {
+            result = read(input, whole, on_bytes) => result,
+            result = write(output, &outbox, on_drained) => result,
+        }
     };
     outbox.close();
-    let last = stream.try_write(&outbox.bytes.borrow());
+    let last = stream.last_words(&outbox.bytes.borrow());
     outbox.took(last.unwrap_or(0));
     result
 }
 
 async fn read(
-    mut input: ReadHalf<'_>,
+    mut input: impl AsyncRead + Unpin,
     whole: Duration,
     mut on_bytes: impl FnMut(&mut BytesMut) -> bool,
 ) -> io::Result<()> {
@@ -144,7 +195,7 @@
     }
 }
 
-async fn write(output: WriteHalf<'_>, outbox: &Outbox, mut on_drained: impl FnMut()) -> io::Result<()> {
+async fn write(output: impl Out, outbox: &Outbox, mut on_drained: impl FnMut()) -> io::Result<()> {
     loop {
         while outbox.is_empty() {
             if outbox.closed.get() {
@@ -152,7 +203,7 @@
             }
             outbox.wake.notified().await;
         }
-        let written = output.try_write(&outbox.bytes.borrow());
+        let written = output.take(&outbox.bytes.borrow());
         match written {
             Ok(n) => outbox.took(n),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -160,7 +211,7 @@
                     return Ok(());
                 }
                 tokio::select! {
-                    ready = output.writable() => ready?,
+                    ready = output.ready() => ready?,
                     () = outbox.wake.notified() => {}
                 }
             }
--- a/src/list/directory.rs
+++ b/src/list/directory.rs
@@ -66,6 +66,16 @@
         (entries, changes)
     }
 
+    /// A server's line, while it is listed.
+    pub fn line(&self, server: ServerId) -> Option<&Listed> {
+        self.listed.get(&server)
+    }
+
+    /// The number of a listed server's id.
+    pub fn number(&self, id: &str) -> Option<ServerId> {
+        self.numbers.get(id).copied().filter(|server| self.listed.contains_key(server))
+    }
+
     /// Where a listed server listens.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.listed.get(&server).map(|l| l.address)
--- a/src/list/resolver.rs
+++ b/src/list/resolver.rs
@@ -32,14 +32,14 @@
 }
 
 /// Asks the resolver for `service` for ever, and gives `on_list` every list that differs from the one before,
-/// with the time at which it was asked for: a drain may count as told from any moment after that.
+/// with the time at which it was asked for and its number, where lists are numbered: a drain may count as told from any moment after that.
 /// `seq` is the number of the list that is known already, where lists are numbered. The resolver's address may
 /// change at any time; the new one is asked at once, and the numbers go on.
 pub async fn follow(
     mut resolver: watch::Receiver<SocketAddr>,
     service: Service,
     mut seq: Option<u32>,
-    mut on_list: impl FnMut(Micros, Vec<Listed>),
+    mut on_list: impl FnMut(Micros, Option<u32>, Vec<Listed>),
 ) {
     let mut last: Option<Vec<Listed>> = None;
     loop {
@@ -60,7 +60,7 @@
             };
             if new {
                 (seq, last) = (serial, Some(list.clone()));
-                on_list(asked, list);
+                on_list(asked, serial, list);
             }
         }
         tokio::select! {
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -1,10 +1,12 @@
 //! What the staff who run the gatekeeper see and say: a door of their own, figures, and whether it takes clients.
 //!
-//! `http` and `figures` are the wire and the text, `service` the state, all without I/O; `door` moves the bytes.
+//! `http` and `figures` are the wire and the text, `service` the state and `handover` what passes at an upgrade, all
+//! without I/O; `door` moves the bytes.
 //! [`Desk`] joins them to the fronts. Nothing here decides a call.
 
 pub mod door;
 pub mod figures;
+pub mod handover;
 pub mod http;
 pub mod service;
 
--- a/src/operate/service.rs
+++ b/src/operate/service.rs
@@ -8,6 +8,16 @@
 /// From here on a connection that is never idle is made to fall idle: 4 s after the order it must have been without a
 /// request for 2 s.
 const TURN_AWAY: Micros = 1_200_000;
+/// After SIGTERM, set-ups keep coming for a while: new connections for 0.4 s, requests on open ones 0.2 s more.
+const STOP_LEAST: Micros = 850_000;
+/// Standing calls may go on this long after SIGTERM, and open ones a little longer: SIGKILL may come 3.7 s after
+/// it, however long callers wait.
+const STOP_MOST: Micros = 3_000_000;
+/// With a successor there is nothing to release and nothing to hurry for: open calls have their own deadlines, what
+/// is handed over has to be read, and callers have to leave, who are turned away at last.
+const SUCCEEDED_LEAST: Micros = 1_000_000;
+const SUCCEEDED_CALLERS: Micros = 3_000_000;
+const SUCCEEDED_MOST: Micros = 10_000_000;
 /// When a call that is turned away may come again; it will find another gatekeeper.
 const COME_BACK: Micros = 100_000;
 
@@ -18,6 +28,8 @@
     out: Option<Micros>,
     /// Since when the program ends.
     stopping: Option<Micros>,
+    /// Another process takes clients at the same address.
+    succeeded: bool,
 }
 
 impl Service {
@@ -31,6 +43,30 @@
         self.stopping.get_or_insert(now);
     }
 
+    /// Another process takes clients at the same address, or does no longer.
+    pub fn succeeded(&mut self, is: bool) {
+        self.succeeded = is;
+    }
+
+    /// This process gives way to another: it listens no more, and hands over what stands.
+    pub fn gives_way(&self) -> bool {
+        self.succeeded && self.stopping.is_some()
+    }
+
+    /// Whether the end has come, with so many calls open and standing, and callers' connections: what comes in is still
+    /// answered, standing calls may come to their end, then it is over.
+    pub fn ended(&self, now: Micros, open: usize, standing: usize, callers: usize) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let gone = now.saturating_sub(since);
+        if self.succeeded {
+            let left = callers == 0 || gone >= SUCCEEDED_CALLERS;
+            return gone >= SUCCEEDED_LEAST && open + standing == 0 && left || gone >= SUCCEEDED_MOST;
+        }
+        gone >= STOP_LEAST && open + standing == 0
+            || gone >= STOP_MOST && open == 0
+            || gone >= STOP_MOST + STOP_LEAST / 2
+    }
+
     /// Clients are welcome.
     pub fn takes_clients(&self) -> bool {
         self.out.is_none() && self.stopping.is_none()
@@ -43,14 +79,15 @@
 
     /// Clients' connections are to be closed where nothing is open on them.
     pub fn sheds(&self, now: Micros) -> bool {
-        self.out.is_some_and(|since| now >= since + SETTLE)
+        self.gives_way() || self.out.is_some_and(|since| now >= since + SETTLE)
     }
 
     /// New calls are turned away, with when they may come again. `at_once`: there are no connections that clients
     /// keep to this gatekeeper, so nothing else has to come first.
     pub fn turns_away(&self, now: Micros, at_once: bool) -> Option<Micros> {
         let after = if at_once { 0 } else { TURN_AWAY };
-        self.out.filter(|since| now >= since + after).map(|_| COME_BACK)
+        let since = self.stopping.filter(|_| self.gives_way()).or(self.out);
+        since.filter(|since| now >= since + after).map(|_| COME_BACK)
     }
 }
 
@@ -76,6 +113,28 @@
         assert!(!service.sheds(Micros::MAX) && service.turns_away(Micros::MAX, true).is_none());
     }
 
+    /// Without a successor what stands is waited for and then released; with one it goes on there.
+    #[test]
+    fn a_successor_changes_the_end() {
+        let mut service = Service::default();
+        service.stop(0);
+        assert!(!service.ended(STOP_LEAST - 1, 0, 0, 5) && service.ended(STOP_LEAST, 0, 0, 5));
+        assert!(!service.ended(STOP_MOST - 1, 0, 1, 0) && service.ended(STOP_MOST, 0, 1, 0));
+        assert!(!service.gives_way() && !service.sheds(STOP_MOST));
+        service.succeeded(true);
+        assert!(service.gives_way() && service.sheds(0));
+        assert_eq!(service.turns_away(TURN_AWAY - 1, false), None);
+        assert_eq!(service.turns_away(TURN_AWAY, false), Some(COME_BACK));
+        assert!(!service.ended(STOP_LEAST, 0, 0, 0) && service.ended(SUCCEEDED_LEAST, 0, 0, 0));
+        assert!(!service.ended(SUCCEEDED_LEAST, 0, 0, 1) && service.ended(SUCCEEDED_CALLERS, 0, 0, 1));
+        assert!(!service.ended(STOP_MOST, 1, 0, 0) && service.ended(SUCCEEDED_MOST, 1, 1, 0));
+        service.succeeded(false);
+        assert!(
+            !service.gives_way() && service.ended(STOP_MOST, 0, 1, 0),
+            "it is gone, and the end is as without it"
+        );
+    }
+
     #[test]
     fn the_end_is_the_end() {
         let mut service = Service::default();
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -13,6 +13,7 @@
 use crate::gateway::{Input, SetUp};
 use crate::host::Front as _;
 use crate::link::{self, Outbox};
+use crate::operate::handover::Word;
 use crate::record::{Record, Step};
 use crate::{CallId, Micros, Number, PoolId};
 
@@ -25,6 +26,11 @@
 const OWED_MOST: usize = 10_000;
 /// A connection whose peer never says what it heard may have taken releases of this long with it when it ended.
 const UNREAD: Micros = 1_000_000;
+/// A caller that says what it hears does so within this.
+const HEARD_BY: Micros = 200_000;
+/// A connection is closed under a caller's next message less often where it was without use for this long: many callers
+/// go on as soon as they have their answer.
+const PAUSE: Micros = 20_000;
 /// A connection on which no set-up was taken for this long from its start is closed: its peer says nothing, or
 /// nothing that makes sense, and holds a descriptor.
 const NO_USE: Micros = 2_000_000;
@@ -44,7 +50,8 @@
     /// See `class_text`.
     pub key: Box<str>,
     link: LinkId,
-    peer: IpAddr,
+    /// Its address.
+    pub peer: IpAddr,
 }
 
 struct ClientLink {
@@ -70,9 +77,19 @@
     /// When it was last written to a connection.
     told: Micros,
     until: Micros,
+    completed: bool,
     message: Vec<u8>,
 }
 
+impl Release {
+    fn of(call: CallId, tag: Tag, peer: IpAddr, completed: bool) -> Release {
+        let cause = if completed { cause::NORMAL } else { cause::TEMPORARY_FAILURE };
+        let message = encode("FINISH", tag, &[], Some(cause), None);
+        let now = clock::now();
+        Release { call, peer, told: now, until: now + OWED, completed, message }
+    }
+}
+
 impl ClientLink {
     /// It may be closed: nothing is open on it, and it is not closing already.
     fn may_close(&self) -> bool {
@@ -95,15 +112,26 @@
     owed: VecDeque<(Tag, Release)>,
     /// Where releases were written that nobody has said were heard.
     telling: HashMap<Tag, LinkId>,
+    /// The newer process of an upgrade: what no caller is here to hear is told there.
+    pub(super) successor: Option<Rc<Outbox>>,
+    /// The descriptors are shared with another process.
+    shared: bool,
     /// The same, by when they are let go.
     until: VecDeque<(Micros, Tag)>,
     record: Record,
 }
 
-/// Takes connections for ever.
+/// Takes connections until this process gives way to another. What is queued then is still taken: a listener that closes
+/// resets it, and new connections come to the other process from then on.
 pub async fn accept(front: Shared, listener: TcpListener) {
+    let mut listens = front.borrow().listens.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = listens.wait_for(|listens| !listens) => break,
+        };
+        match accepted {
             Ok((stream, from)) => {
                 if front.borrow_mut().clients.make_room() {
                     tokio::task::spawn_local(serve(front.clone(), stream, from.ip()));
@@ -117,6 +145,21 @@
             }
         }
     }
+    last_of(&front, listener);
+    std::future::pending().await
+}
+
+/// Takes what is queued at a listener that is to close, without waiting in between.
+fn last_of(front: &Shared, listener: TcpListener) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, from)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream
+            && front.borrow_mut().clients.make_room()
+        {
+            tokio::task::spawn_local(serve(front.clone(), stream, from.ip()));
+        }
+    }
 }
 
 async fn serve(front: Shared, stream: TcpStream, peer: IpAddr) {
@@ -147,13 +190,14 @@
             // A set-up without a readable id can be answered by no message.
             (Verb::Start, None) => return false,
             (Verb::Finish, Some(tag)) => {
-                if let Some(call) = self.clients.tags.get(&tag).copied() {
+                if let Some(call) = self.clients.call_of(tag) {
                     self.host.record.note(clock::now(), call, Step::CallerSpokeOn(id));
                     self.clients.was_used(id);
                     self.clients.write(id, &encode("FINISHED", tag, &[], None, None));
-                    self.clients.forget(call);
-                    self.feed(Input::GivenUp(call));
-                    self.servers.forget(call);
+                    self.caller_ends(call);
+                } else if self.sibling.role.shares() {
+                    self.clients.write(id, &encode("FINISHED", tag, &[], None, None));
+                    self.tell_sibling(&Word::CallerEnds { tag: tag.to_string() });
                 }
             }
             (Verb::Finished, Some(tag)) => self.clients.heard(id, tag),
@@ -166,6 +210,13 @@
         true
     }
 
+    /// A caller gives a call up, or ends one that stands.
+    pub(super) fn caller_ends(&mut self, call: CallId) {
+        self.clients.forget(call);
+        self.feed(Input::GivenUp(call));
+        self.servers.forget(call);
+    }
+
     fn set_up(&mut self, id: LinkId, tag: Tag, line: Line) {
         if let Some(call) = self.clients.tags.get(&tag) {
             // The same set-up again: the call is open or stands, and has or gets its one answer where it came in.
@@ -206,6 +257,8 @@
             next_call: 0,
             owed: VecDeque::new(),
             telling: HashMap::new(),
+            successor: None,
+            shared: false,
             until: VecDeque::new(),
             record,
         }
@@ -237,7 +290,8 @@
     /// connect by the hundreds and say nothing (found on days with both: all places were taken for good, and
     /// further callers were turned away unheard).
     fn make_room(&mut self) -> bool {
-        if self.links.values().filter(|l| l.outbox.is_open()).count() < self.most {
+        let most = if self.shared { (self.most / 2).max(1) } else { self.most };
+        if self.links.values().filter(|l| l.outbox.is_open()).count() < most {
             return true;
         }
         let idle = self.links.values().filter(|l| l.may_close());
@@ -248,13 +302,22 @@
         true
     }
 
-    /// Closes every connection on which nothing is open or stands.
-    pub(super) fn close_idle(&mut self) {
-        for link in self.links.values().filter(|l| l.may_close() && l.stand.is_empty()) {
+    /// Closes every connection on which nothing is open or stands, nothing was said a moment ago, and no release is
+    /// still to be heard.
+    pub(super) fn close_idle(&mut self, now: Micros) {
+        let telling = |l: &ClientLink| l.telling.values().any(|r| now < r.told + HEARD_BY);
+        let paused = |l: &ClientLink| now >= l.used.unwrap_or(l.opened) + PAUSE;
+        let idle = |l: &&ClientLink| l.may_close() && l.stand.is_empty() && paused(l) && !telling(l);
+        for link in self.links.values().filter(idle) {
             link.outbox.close();
         }
     }
 
+    /// How many connections there are.
+    pub(super) fn count(&self) -> usize {
+        self.links.len()
+    }
+
     /// Closes connections of no use, and lets go of what is owed no more.
     pub(super) fn care(&mut self, now: Micros) {
         self.let_go(now);
@@ -341,12 +404,19 @@
     /// Releases a call that stood.
     pub(super) fn over(&mut self, call: CallId, completed: bool) {
         let Some(caller) = self.forget(call) else { return };
-        let cause = if completed { cause::NORMAL } else { cause::TEMPORARY_FAILURE };
-        let message = encode("FINISH", caller.tag, &[], Some(cause), None);
-        let now = clock::now();
-        let release = Release { call, peer: caller.peer, told: now, until: now + OWED, message };
-        self.until.push_back((release.until, caller.tag));
-        self.owe(caller.link, caller.tag, release);
+        let release = Release::of(call, caller.tag, caller.peer, completed);
+        self.owe_first(caller.link, caller.tag, release);
+    }
+
+    /// The other process of an upgrade has no connection on which to tell this.
+    pub(super) fn owe_for_other(&mut self, tag: Tag, peer: IpAddr, completed: bool) {
+        self.next_call += 1;
+        self.owe_first(0, tag, Release::of(CallId(self.next_call), tag, peer, completed));
+    }
+
+    fn owe_first(&mut self, link: LinkId, tag: Tag, release: Release) {
+        self.until.push_back((release.until, tag));
+        self.owe(link, tag, release);
         while self.until.len() > OWED_MOST {
             self.let_go_first();
         }
@@ -370,6 +440,12 @@
             None => Some(release),
         };
         if let Some(release) = left {
+            if let Some(successor) = &self.successor {
+                let (peer, completed) = (release.peer, release.completed);
+                if successor.push(&Word::Owed { tag: tag.to_string(), peer, completed }.line()) {
+                    return;
+                }
+            }
             self.record.note(clock::now(), release.call, Step::Owed);
             self.owed.push_back((tag, release));
         }
@@ -437,8 +513,38 @@
         }
     }
 
+    /// The call of a name, while it is open or stands.
+    pub(super) fn call_of(&self, tag: Tag) -> Option<CallId> {
+        self.tags.get(&tag).copied()
+    }
+
+    /// A class's place, by its name.
+    pub(super) fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| c == name)
+    }
+
+    /// A class's name, by its place.
+    pub(super) fn class_name(&self, class: usize) -> &str {
+        self.classes.get(class).map_or("", String::as_str)
+    }
+
+    /// The descriptors are shared with another process, or are not any more.
+    pub(super) fn share(&mut self, shared: bool) {
+        self.shared = shared;
+    }
+
+    /// Takes a call that stands from another process; no connection of ours brought it.
+    pub(super) fn adopt(&mut self, tag: Tag, class: usize, peer: IpAddr) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        let caller = Caller { tag, class, class_text: "".into(), key: "".into(), link: 0, peer };
+        self.calls.insert(call, caller);
+        self.tags.insert(tag, call);
+        call
+    }
+
     /// Lets go of a call.
-    fn forget(&mut self, call: CallId) -> Option<Caller> {
+    pub(super) fn forget(&mut self, call: CallId) -> Option<Caller> {
         let caller = self.calls.remove(&call)?;
         self.tags.remove(&caller.tag);
         if let Some(link) = self.links.get_mut(&caller.link) {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,12 @@
 //! The platform's front: JSON lines over TCP, towards callers and towards setup servers.
 //!
-//! `line` is the codec, `clients` and `servers` keep the two sides, and
+//! `line` is the codec, `clients` and `servers` keep the two sides, `sibling` speaks with the other process of an upgrade, and
 //! [`Front`] joins them to the core.
 
 pub mod clients;
 pub mod line;
 pub mod servers;
+mod sibling;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -35,6 +36,11 @@
     clients: Clients,
     servers: Servers,
     directory: Directory,
+    sibling: sibling::Sibling,
+    /// The number of the list's last event.
+    seq: u32,
+    /// False once no more callers are to be taken in.
+    listens: watch::Sender<bool>,
     me: Weak<RefCell<Front>>,
     next_link: LinkId,
 }
@@ -49,17 +55,19 @@
     desk: Rc<Desk>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let listener = link::listen(config.listen);
-    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    tracing::info!(name = config.name, listen = %address, "serves");
     let front = Front::start(&config, plan.borrow().clone());
     for (scope, list) in config.known.clone() {
         front.borrow_mut().take_list(clock::now(), scope, list);
     }
+    let place = sibling::meet(&front, config.listen).await;
+    let listener = link::listen(config.listen);
+    let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    tracing::info!(name = config.name, listen = %address, "serves");
     let tasks = async {
         tokio::join!(
             clients::accept(front.clone(), listener),
+            sibling::follow(front.clone(), place),
             follow_list(front.clone(), resolver, config.seq),
             host::follow_plan(&front, plan)
         )
@@ -70,8 +78,10 @@
 
 async fn follow_list(front: Shared, server: watch::Receiver<SocketAddr>, seq: u32) {
     let service = resolver::Service::Srv("_back._tcp.pool.lan.".to_string());
-    resolver::follow(server, service, Some(seq), |asked, list| {
-        front.borrow_mut().take_list(asked, ListScope::Whole, list);
+    resolver::follow(server, service, Some(seq), |asked, serial, list| {
+        let mut front = front.borrow_mut();
+        front.seq = serial.unwrap_or(front.seq);
+        front.take_list(asked, ListScope::Whole, list);
     })
     .await;
 }
@@ -90,6 +100,9 @@
                 clients: Clients::new(classes, longest_wait, config.sockets / 2, record),
                 servers: Servers::new(config.dial_timeout, config.seed),
                 directory: Directory::default(),
+                sibling: sibling::Sibling::default(),
+                seq: config.seq,
+                listens: watch::Sender::new(true),
                 me: me.clone(),
                 next_link: 1,
             })
@@ -105,10 +118,10 @@
         self.next_link
     }
 
-    /// Out of service: a client's connection ends as soon as nothing is open on it.
+    /// Clients' connections end once nothing is open on them, where clients are to go elsewhere.
     fn send_away(&mut self, now: Micros) {
         if self.host.service.sheds(now) {
-            self.clients.close_idle();
+            self.clients.close_idle(now);
         }
     }
 
@@ -137,6 +150,10 @@
         &mut self.host
     }
 
+    fn callers(&self) -> usize {
+        self.clients.count()
+    }
+
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send { attempt, server, left, description } => {
@@ -146,16 +163,10 @@
             Command::Release { attempt, server } => self.release(attempt, server),
             Command::Answer { call, description } => {
                 self.clients.answer(call, &description);
-                self.send_away(clock::now());
-            }
-            Command::Refuse { call, wait } => {
-                self.clients.refuse(call, wait);
-                self.send_away(clock::now());
-            }
-            Command::Fail { call } => {
-                self.clients.fail(call);
-                self.send_away(clock::now());
+                self.hand_over();
             }
+            Command::Refuse { call, wait } => self.clients.refuse(call, wait),
+            Command::Fail { call } => self.clients.fail(call),
             Command::Over { call, outcome } => {
                 self.servers.forget(call);
                 self.clients.over(call, outcome == Outcome::Completed);
@@ -170,6 +181,10 @@
         self.host.gateway.turn_away(self.host.service.turns_away(now, false));
         self.clients.care(now);
         self.care_for_servers(now);
+        if self.host.service.gives_way() {
+            self.listens.send_replace(false);
+            self.hand_over();
+        }
         self.send_away(now);
     }
 }
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -13,6 +13,7 @@
 use crate::gateway::{AttemptId, Input};
 use crate::host::Front as _;
 use crate::link::{self, Outbox};
+use crate::operate::handover::Word;
 use crate::record::Step;
 use crate::{CallId, Cause, LoadReport, Micros, Outcome, ServerId};
 
@@ -363,7 +364,13 @@
         }
     }
 
-    fn end_attempt(&mut self, attempt: AttemptId, outcome: Outcome, cause: Cause, load: LoadReport) {
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: AttemptId,
+        outcome: Outcome,
+        cause: Cause,
+        load: LoadReport,
+    ) {
         self.servers.forget(attempt.call);
         self.feed(Input::Ended { attempt, outcome, cause, load });
     }
@@ -421,7 +428,12 @@
         if let Some(link) = self.servers.links.get_mut(&id) {
             link.given_up.retain(|(_, t)| *t != tag);
         }
-        let Some(slot) = self.servers.slots.get(&(server, tag)) else { return };
+        let Some(slot) = self.servers.slots.get(&(server, tag)) else {
+            // Of an attempt that was given up, or of a call that stands at the other process of an upgrade.
+            let completed = line.cause == Some(cause::NORMAL);
+            let server = self.directory.name(server).to_string();
+            return self.tell_sibling(&Word::ServerEnds { server, tag: tag.to_string(), completed });
+        };
         if !slot.stands && slot.link != id {
             return; // of an old attempt
         }
@@ -619,6 +631,24 @@
         }
     }
 
+    /// Where a call has something, and under which name.
+    pub(super) fn place(&self, call: CallId) -> Option<(ServerId, Tag)> {
+        self.by_call.get(&call).copied()
+    }
+
+    /// The attempt by which a call of this name stands at a server.
+    pub(super) fn standing_at(&self, server: ServerId, tag: Tag) -> Option<AttemptId> {
+        self.slots.get(&(server, tag)).filter(|slot| slot.stands).map(|slot| slot.attempt)
+    }
+
+    /// A call stands at a server by another process's attempt; no connection of ours has to do with that.
+    pub(super) fn adopt(&mut self, server: ServerId, tag: Tag, call: CallId) -> AttemptId {
+        let attempt = AttemptId { call, number: 0 };
+        self.slots.insert((server, tag), Slot { attempt, link: 0, stands: true });
+        self.by_call.insert(call, (server, tag));
+        attempt
+    }
+
     /// Lets go of what a call has at a server.
     pub(super) fn forget(&mut self, call: CallId) -> Option<(ServerId, Tag)> {
         let key = self.by_call.remove(&call)?;
--- a/src/record.rs
+++ b/src/record.rs
@@ -41,6 +41,10 @@
     Failed,
     /// It stood and is over; its caller is to be told.
     Over(Outcome),
+    /// It stood at another process of this gatekeeper, and is this one's now.
+    Adopted,
+    /// It stands, and is another process's now.
+    HandedOver,
     /// Its set-up came on this connection.
     CameOn(u64),
     /// Its attempt goes to the server on this connection.
@@ -98,6 +102,8 @@
             Input::HungUp(call) => (*call, Step::HungUp),
             Input::Stands { attempt, .. } => (attempt.call, Step::Stands(attempt.number)),
             Input::Ended { attempt, outcome, .. } => (attempt.call, Step::Ended(attempt.number, *outcome)),
+            Input::Adopted { attempt, .. } => (attempt.call, Step::Adopted),
+            Input::HandedOver(call) => (*call, Step::HandedOver),
             Input::Load { .. }
             | Input::List { .. }
             | Input::Lost { .. }
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -129,7 +129,7 @@
     let front = Front::start(&config, plan.borrow().clone(), transport);
     let follow = async {
         let service = resolver::Service::DnsSd(config.service.clone());
-        let on_list = |asked, list| front.borrow_mut().take_list(asked, list);
+        let on_list = |asked, _, list| front.borrow_mut().take_list(asked, list);
         resolver::follow(resolver, service, None, on_list).await;
     };
     let tasks = async {
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -19,7 +19,7 @@
 /// Follows a service until the list satisfies, and returns it.
 async fn until(resolver: &Resolver, service: Service, enough: impl Fn(&[Listed]) -> bool) -> Vec<Listed> {
     let last = Rc::new(RefCell::new(None));
-    let on_list = |_, list: Vec<Listed>| *last.borrow_mut() = Some(list).filter(|l| enough(l));
+    let on_list = |_, _, list: Vec<Listed>| *last.borrow_mut() = Some(list).filter(|l| enough(l));
     let found = async {
         while last.borrow().is_none() {
             tokio::task::yield_now().await;
@@ -95,7 +95,7 @@
     let seen = RefCell::new(Vec::new());
     let service = Service::Srv("_back._tcp.pool.lan".into());
     let told = watch::channel(resolver.address).1;
-    let on_list = |_, list: Vec<Listed>| seen.borrow_mut().push(list.len());
+    let on_list = |_, _, list: Vec<Listed>| seen.borrow_mut().push(list.len());
     let story = async {
         let came = async |n: usize| {
             while seen.borrow().len() < n {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -6,7 +6,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::str::FromStr;
 use std::sync::{Arc, Mutex};
@@ -115,6 +115,25 @@
         (program, gate, door)
     }
 
+    /// A process of the gatekeeper at this address, whose processes meet in this folder: itself and its door.
+    pub fn beside(resolver: &Resolver, gate: SocketAddr, folder: &Path) -> (Program, SocketAddr) {
+        let mut config = Program::platform_config(resolver, settings());
+        config["listen"] = json!(gate.to_string());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cobaltspool"));
+        command.env("TMPDIR", folder).env("LB_OPS", "127.0.0.1:0");
+        let mut program = Program::start_by(command, &[("--config", config)]);
+        let line = program.logged("operators connect here");
+        let door = line.split(['=', ' ', '\n']).find_map(|word| word.parse().ok()).unwrap();
+        program.logged(" serves ");
+        (program, door)
+    }
+
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// A gatekeeper that is told of so few descriptors, and is given no more.
     pub fn platform_within(resolver: &Resolver, sockets: u32) -> (Program, SocketAddr) {
         let mut config = Program::platform_config(resolver, settings());
