--- a/src/host.rs
+++ b/src/host.rs
@@ -33,6 +33,8 @@
     classes: Vec<String>,
     /// Whether clients are welcome.
     pub service: Service,
+    /// A list of servers has come: before that no call could go anywhere.
+    pub listed: bool,
 }
 
 impl Host {
@@ -46,9 +48,15 @@
             wake: Rc::new(Notify::new()),
             classes,
             service: Service::default(),
+            listed: false,
         }
     }
 
+    /// Whether this process takes clients: they are welcome, and there is a list.
+    pub fn ready(&self) -> bool {
+        self.listed && self.service.takes_clients()
+    }
+
     /// The core's figures now.
     pub fn figures(&self) -> Figures {
         let counts = self.gateway.counts().iter().copied();
@@ -128,7 +136,7 @@
 
 impl<F: Front> View for RefCell<F> {
     fn ready(&self) -> bool {
-        self.borrow_mut().host().service.takes_clients()
+        self.borrow_mut().host().ready()
     }
 
     fn figures(&self) -> Figures {
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -202,7 +202,7 @@
             }
             (Verb::Finished, Some(tag)) => self.clients.heard(id, tag),
             (Verb::Echo, Some(tag)) => {
-                let passed = i64::from(self.host.service.takes_clients());
+                let passed = i64::from(self.host.ready());
                 self.clients.write(id, &encode("ECHOED", tag, &[], Some(passed), None));
             }
             _ => {}
--- a/src/sip/clients.rs
+++ b/src/sip/clients.rs
@@ -78,7 +78,7 @@
             }
             ("INVITE", None) if hops == Some(0) => 483,
             ("INVITE", None) => return self.invited(key, request),
-            ("OPTIONS", None) if !self.host.service.takes_clients() => 503,
+            ("OPTIONS", None) if !self.host.ready() => 503,
             ("OPTIONS", None) => 200,
             ("BYE", None) => 481,
             _ => 405,
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -12,26 +12,6 @@
 
 const CLASS: &str = "check-setup";
 
-/// One call at the door: status and text.
-fn ask(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
-    spoken(door, format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes())
-}
-
-/// What the door says to these bytes.
-fn spoken(door: SocketAddr, bytes: &[u8]) -> (u16, String) {
-    let mut stream = TcpStream::connect(door).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(bytes).unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).unwrap();
-    let status = text
-        .split(' ')
-        .nth(1)
-        .and_then(|s| s.parse().ok())
-        .unwrap_or_else(|| panic!("an answer, not {text:?}"));
-    (status, text)
-}
-
 /// A figure's value.
 fn figure(text: &str, name: &str) -> u64 {
     let line = text.lines().find_map(|l| l.strip_prefix(&format!("edge_lb_{name} ")));
@@ -159,3 +139,22 @@
     assert_eq!(ended.count(), 40);
     assert_eq!(ask(door, "GET", "/control/ready").0, 200);
 }
+
+/// A process without a list cannot serve, and says so until the resolver has told it one.
+#[test]
+fn it_is_not_ready_before_it_has_a_list() {
+    let (server, at) = listen();
+    let resolver = Resolver::new(vec![line("s-1", at, 0)]);
+    resolver.slip(Some(Slip::Failure));
+    let (_program, gate, door) = Program::without_a_list(&resolver);
+    let echo = json!({"verb": "ECHO", "tag": "00000000000000ee", "opts": {}, "rc": 0});
+    let mut front = Lines::connect(gate);
+    front.say(echo.clone());
+    assert_eq!(front.expect("ECHOED")["rc"], 0);
+    assert_eq!(ask(door, "GET", "/control/ready").0, 503);
+    resolver.slip(None);
+    let _far = Lines::accept(&server);
+    eventually("it is ready", || (ask(door, "GET", "/control/ready").0 == 200).then_some(()));
+    front.say(echo);
+    assert_eq!(front.expect("ECHOED")["rc"], 1);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -63,6 +63,8 @@
     files: Vec<Scratch>,
     /// What the first front was started with.
     config: Value,
+    /// Where operators connect, if it opened a door before it served.
+    pub door: Option<SocketAddr>,
 }
 
 impl Program {
@@ -83,7 +85,7 @@
             .spawn()
             .expect("starts");
         let log = BufReader::new(child.stderr.take().unwrap());
-        Program { child, log, files, config: fronts[0].1.clone() }
+        Program { child, log, files, config: fronts[0].1.clone(), door: None }
     }
 
     /// The addresses in the line that says what the program serves.
@@ -92,8 +94,11 @@
         while !line.contains(" serves ") {
             line.clear();
             assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended before it served");
+            if line.contains("operators connect here") {
+                self.door = addresses(&line).first().copied();
+            }
         }
-        line.split([' ', '=', '\n']).filter_map(|word| word.parse().ok()).collect()
+        addresses(&line)
     }
 
     /// A gatekeeper on the platform's protocol, with these servers known from the start.
@@ -105,13 +110,21 @@
 
     /// A gatekeeper on the platform's protocol with a door for operators: the clients' address and the door's.
     pub fn with_door(resolver: &Resolver) -> (Program, SocketAddr, SocketAddr) {
+        Program::with_door_by(Program::platform_config(resolver, settings()))
+    }
+
+    /// The same, with nothing known of servers at the start.
+    pub fn without_a_list(resolver: &Resolver) -> (Program, SocketAddr, SocketAddr) {
         let mut config = Program::platform_config(resolver, settings());
+        config["known"] = json!({"seq": 0, "results": []});
+        Program::with_door_by(config)
+    }
+
+    fn with_door_by(mut config: Value) -> (Program, SocketAddr, SocketAddr) {
         config["ops"] = json!("127.0.0.1:0");
         let mut program = Program::start(&[("--config", config)]);
-        let address_in =
-            |line: String| line.split(['=', ' ', '\n']).find_map(|word| word.parse().ok()).unwrap();
-        let door = address_in(program.logged("operators connect here"));
-        let gate = address_in(program.logged(" serves "));
+        let gate = program.served()[0];
+        let door = program.door.expect("its door was asked for");
         (program, gate, door)
     }
 
@@ -122,9 +135,8 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_cobaltspool"));
         command.env("TMPDIR", folder).env("LB_OPS", "127.0.0.1:0");
         let mut program = Program::start_by(command, &[("--config", config)]);
-        let line = program.logged("operators connect here");
-        let door = line.split(['=', ' ', '\n']).find_map(|word| word.parse().ok()).unwrap();
-        program.logged(" serves ");
+        program.served();
+        let door = program.door.expect("its door was asked for");
         (program, door)
     }
 
@@ -182,7 +194,7 @@
         settings.as_object_mut().unwrap().remove("unheard-of"); // ours to refuse, unlike the platform's
         json!({
             "name": "s1", "udp": "127.0.0.1:0", "tcp": "127.0.0.1:0", "dns": resolver.address.to_string(),
-            "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings
+            "ops": "127.0.0.1:0", "service": service, "seed": "1", "t1_ms": 100, "wait_ms": wait_ms, "settings": settings
         })
     }
 
@@ -264,6 +276,27 @@
     }
 }
 
+/// The addresses in a line.
+fn addresses(line: &str) -> Vec<SocketAddr> {
+    line.split([' ', '=', '\n']).filter_map(|word| word.parse().ok()).collect()
+}
+
+/// One call at the operators' door: status and text.
+pub fn ask(door: SocketAddr, method: &str, path: &str) -> (u16, String) {
+    spoken(door, format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n").as_bytes())
+}
+
+/// What the operators' door says to these bytes.
+pub fn spoken(door: SocketAddr, bytes: &[u8]) -> (u16, String) {
+    let mut stream = TcpStream::connect(door).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
+    (status.unwrap_or_else(|| panic!("an answer, not {text:?}")), text)
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -668,7 +668,7 @@
     far.started(&start["tag"]);
     caller.expect("STARTED");
     for _ in 0..2 {
-        assert_eq!(ordered(door, "out-of-service"), 200);
+        assert_eq!(ask(door, "PUT", "/control/out-of-service").0, 200);
     }
     let echo = json!({"verb": "ECHO", "tag": "00000000000000ee", "opts": {}, "rc": 0});
     let mut test = Lines::connect(gate);
@@ -695,19 +695,9 @@
     assert_eq!((&over["tag"], &over["rc"]), (&json!(TAG), &json!(16)));
     caller.say(json!({"verb": "FINISHED", "tag": TAG, "opts": {}}));
     assert_eq!(caller.text(), "", "nothing stands on it any more");
-    assert_eq!(ordered(door, "in-service"), 200);
+    assert_eq!(ask(door, "PUT", "/control/in-service").0, 200);
     Lines::connect(gate).nothing_but_an_echo();
     let mut test = Lines::connect(gate);
     test.say(echo);
     assert_eq!(test.expect("ECHOED")["rc"], 1);
 }
-
-/// An order at the operators' door; its status.
-fn ordered(door: SocketAddr, order: &str) -> u16 {
-    use std::io::{Read, Write};
-    let mut stream = std::net::TcpStream::connect(door).unwrap();
-    stream.write_all(format!("PUT /control/{order} HTTP/1.1\r\n\r\n").as_bytes()).unwrap();
-    let mut text = String::new();
-    stream.read_to_string(&mut text).unwrap();
-    text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default()
-}
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -643,3 +643,28 @@
     caller.expect("SIP/2.0 200");
     drop(silent);
 }
+
+/// Out of service: OPTIONS and new INVITEs get 503 with Retry-After, a dialog goes on to its end; and back again.
+#[test]
+fn a_drain_turns_new_calls_away_and_lets_dialogs_end() {
+    let (mut site, invite, _) = standing(On::Udp, "d1");
+    let door = site.program.door.expect("its door was asked for");
+    assert_eq!(ask(door, "PUT", "/control/out-of-service").0, 200);
+    assert_eq!(ask(door, "GET", "/control/ready").0, 503);
+    let options = site.caller.request("OPTIONS", "o7", "", "");
+    site.caller.send(&options);
+    assert_eq!(site.caller.expect("SIP/2.0 503").get("Retry-After"), "1");
+    eventually("a new INVITE is turned away", || {
+        site.caller.invite("d2");
+        let refused = site.caller.expect("SIP/2.0 503");
+        let ack = ack_of(&site.caller, &refused, "d2");
+        site.caller.send(&ack);
+        (refused.get("Retry-After") == "1").then_some(())
+    });
+    site.server.bye_from_server(&invite, "far");
+    site.caller.expect("BYE");
+    assert_eq!(ask(door, "PUT", "/control/in-service").0, 200);
+    let options = site.caller.request("OPTIONS", "o8", "", "");
+    site.caller.send(&options);
+    site.caller.expect("SIP/2.0 200");
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -51,11 +51,7 @@
 }
 
 fn ready(door: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(door) else { return false };
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    let _ = stream.write_all(b"GET /control/ready HTTP/1.1\r\n\r\n");
-    let mut line = String::new();
-    BufReader::new(stream).read_line(&mut line).is_ok() && line.contains(" 200 ")
+    ask(door, "GET", "/control/ready").0 == 200
 }
 
 /// The one connection to a server on which a message comes next, of those of either process.
