--- a/src/limits/live/tests.rs
+++ b/src/limits/live/tests.rs
@@ -260,3 +260,29 @@
         }
     }
 }
+
+/// Two processes of one gatekeeper keep a cap together: each has half of the rate, of the burst and of the open calls, and
+/// the one that comes later nothing to spend at once.
+#[test]
+fn a_shared_cap_is_halved_until_the_other_is_gone() {
+    let rate = |shared: bool| {
+        let mut live =
+            live("{routes: [{name: 'a', match: {}, limits: {rate: {per_second: 10, burst: 10}}}]}");
+        live.share(0, shared);
+        let mut taken = |from: Micros, until: Micros| {
+            (from..until).step_by(10_000).filter(|now| live.take(*now, call("38")).is_ok()).count()
+        };
+        (taken(0, 10_000), taken(10_000, 10 * SEC))
+    };
+    assert_eq!(rate(false).0, 1);
+    let (at_once, later) = rate(true);
+    assert_eq!(at_once, 0, "what there was to spend is the other's");
+    assert!((48..=50).contains(&later), "half of 10 a second for 10 s, not {later}");
+    let mut live = live("{routes: [{name: 'a', match: {}, limits: {open_calls: 4}}]}");
+    live.share(0, true);
+    let held: Vec<_> = (0..4).map_while(|_| live.take(SEC, call("38")).ok()).collect();
+    assert_eq!(held.len(), 2);
+    live.share(SEC, false);
+    let more: Vec<_> = (0..4).map_while(|_| live.take(SEC, call("38")).ok()).collect();
+    assert_eq!(more.len(), 2, "alone again, all four");
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
@@ -165,6 +165,49 @@
     stands(site.gate, &mut far, TAG);
 }
 
+/// What the old process knows to drain is no fresh server to the new one, whatever its own list still says.
+#[test]
+fn a_drain_that_the_old_process_knows_of_holds_for_the_new_one() {
+    let (_server, at) = listen();
+    let site = Site::new(at);
+    let old = UnixListener::bind(site.socket()).unwrap();
+    let speaks = thread::spawn(move || {
+        let (mut stream, _) = old.accept().unwrap();
+        stream
+            .write_all(
+                b"{\"say\":\"hello\",\"version\":1,\"seq\":9}\n{\"say\":\"server\",\"server\":\"s-1\",\"drains_for\":1000000,\
+                  \"silent\":false,\"report\":null}\n{\"say\":\"begin\"}\n",
+            )
+            .unwrap();
+        stream
+    });
+    let (_new, _) = site.start();
+    let _held = speaks.join().unwrap();
+    let mut caller = Lines::connect(site.gate);
+    caller.start(TAG, 300, 0);
+    assert_eq!(caller.expect("FINISH")["rc"], 34, "its only server drains");
+}
+
+/// A word on a call that is on its way to the new process comes back once, after the call.
+#[test]
+fn a_word_that_overtakes_its_call_is_sent_back() {
+    let (server, at) = listen();
+    let site = Site::new(at);
+    let (mut old, _) = site.start();
+    let _caller = stands(site.gate, &mut far_of(&server), TAG);
+    let mut newer = UnixStream::connect(site.socket()).unwrap();
+    newer.set_read_timeout(Some(PATIENCE)).unwrap();
+    newer.write_all(b"{\"say\":\"serving\"}\n").unwrap();
+    old.logged("a newer process serves beside this one");
+    old.terminate();
+    let mut words = BufReader::new(newer.try_clone().unwrap()).lines().map(|word| word.unwrap());
+    let mut next = |what: &str| words.find(|word| word.contains(what)).unwrap_or_else(|| panic!("no {what}"));
+    assert!(next("standing").contains(TAG));
+    let word = format!("{{\"say\":\"caller_ends\",\"tag\":\"{TAG}\"}}");
+    newer.write_all(format!("{word}\n").as_bytes()).unwrap();
+    assert_eq!(next("caller_ends"), word);
+}
+
 /// A socket that a killed process has left, and a folder in which there can be none.
 #[rstest]
 #[case::stale_socket(true)]
