Make the story of an inherited drain fail where the drain is not inherited

Cause: with the take-over of drains removed the story still passed: a call with 300 ms left is refused whatever the list says. It has 3 s now, and the figures must show no attempt.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -181,11 +181,16 @@
             .unwrap();
         stream
     });
-    let (_new, _) = site.start();
+    let (_new, door) = site.start();
     let _held = speaks.join().unwrap();
     let mut caller = Lines::connect(site.gate);
-    caller.start(TAG, 300, 0);
+    caller.start(TAG, 3000, 0);
     assert_eq!(caller.expect("FINISH")["rc"], 34, "its only server drains");
+    let (_, figures) = ask(door, "GET", "/control/counters");
+    assert!(
+        figures.contains("edge_lb_attempts_total{class=\"check-setup\"} 0\n"),
+        "none went there: {figures}"
+    );
 }
 
 /// A word on a call that is on its way to the new process comes back once, after the call.
