A view of the fleet, pure: SWIM with local health, and its simulation

Change: the workspace; crates/fleet (member, wire, view, fronts; no I/O, no clock) and crates/fleet-sim (worlds on simulated time, drawn schedules, plainer detectors). Not linked into the program yet. Causes found by the drawn schedules, each with its lines: a start's nonce above the older one's hid that its generation was the same (view/mod.rs take); one who stands by as somebody's seed answered nobody (take_standing_by passes greetings on); one who stood by never spoke again once the newer start was forgotten, or all others had started anew (same place); two who resumed in two halves knew nobody in common (rival).

--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --all -- --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 run: build
 	target/release/cobaltspool serve --config $(CONFIG)
--- /dev/null
+++ b/crates/fleet-sim/src/main.rs
@@ -0,0 +1,73 @@
+//! Plays the simulation and prints tables: `schedules` looks for a break, `detect` measures the view and plainer detectors.
+
+use std::process::ExitCode;
+use std::time::Instant;
+
+use bpaf::Parser;
+use cobaltspool_fleet_sim::{measure, schedule};
+
+enum Task {
+    Schedules { from: u64, count: u64, most: usize },
+    Detect { sizes: Vec<usize>, plays: u64 },
+}
+
+fn parser() -> bpaf::OptionParser<Task> {
+    let from = bpaf::long("from").help("the first seed").argument("SEED").fallback(0);
+    let count = bpaf::long("count").help("how many schedules").argument("N").fallback(10_000);
+    let most = bpaf::long("most").help("the largest fleet").argument("N").fallback(30);
+    let schedules = bpaf::construct!(Task::Schedules { from, count, most })
+        .to_options()
+        .descr("Plays drawn schedules of faults; status 1 if one does not settle within the bound")
+        .command("schedules");
+    let sizes = bpaf::long("size")
+        .help("a fleet's size; may be given several times")
+        .argument("N")
+        .some("give --size");
+    let plays = bpaf::long("plays").help("plays a figure").argument("N").fallback(5);
+    let detect = bpaf::construct!(Task::Detect { sizes, plays })
+        .to_options()
+        .descr("Measures detection, settling, false deaths and traffic, with the plainer detectors beside")
+        .command("detect");
+    bpaf::construct!([schedules, detect]).to_options().descr("The fleet's view on simulated time")
+}
+
+fn main() -> ExitCode {
+    match parser().run() {
+        Task::Schedules { from, count, most } => schedules(from, count, most),
+        Task::Detect { sizes, plays } => {
+            print!("{}", measure::table(&sizes, plays));
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Spreads the seeds over the machine's cores; each schedule is one thread's alone.
+fn schedules(from: u64, count: u64, most: usize) -> ExitCode {
+    let (start, cores) = (Instant::now(), std::thread::available_parallelism().map_or(1, |n| n.get()) as u64);
+    let mut played: Vec<schedule::Outcome> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..cores)
+            .map(|core| {
+                let seeds = (from..from + count).filter(move |seed| seed % cores == core);
+                scope.spawn(move || seeds.map(|seed| schedule::play(seed, most)).collect::<Vec<_>>())
+            })
+            .collect();
+        workers.into_iter().flat_map(|w| w.join().expect("a schedule brought its thread down")).collect()
+    });
+    played.sort_by_key(|p| p.seed);
+    let broken: Vec<_> = played.iter().filter(|p| p.settled.is_err()).collect();
+    for outcome in broken.iter().take(5) {
+        println!("{outcome:#?}");
+    }
+    let mut times: Vec<f64> = played.iter().filter_map(|p| p.settled.clone().ok()).collect();
+    times.sort_by(f64::total_cmp);
+    println!(
+        "{} schedules of 3 to {most} members in {:.0} s: {} broken; settled after the last fault in {:.1} periods (median), {:.1} (p99), {:.1} (most)",
+        played.len(),
+        start.elapsed().as_secs_f64(),
+        broken.len(),
+        measure::rank(&times, 0.5),
+        measure::rank(&times, 0.99),
+        measure::rank(&times, 1.0),
+    );
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/fleet-sim/tests/view.rs
@@ -0,0 +1,238 @@
+//! The view under drawn faults, and under the named hard ones.
+
+use std::collections::BTreeSet;
+
+use cobaltspool_fleet::view::{Event, View};
+use cobaltspool_fleet_sim::schedule;
+use cobaltspool_fleet_sim::world::{Cut, PERIOD, World};
+
+fn bound(world: &World) -> u64 {
+    View::bound(PERIOD, world.nodes.len())
+}
+
+fn settled(world: &mut World) -> u64 {
+    let bound = bound(world);
+    world.settle(bound).unwrap_or_else(|wrong| {
+        panic!("{wrong}\n{:?}", world.events.iter().rev().take(40).collect::<Vec<_>>())
+    })
+}
+
+/// Deaths that were told of members that ran, at whomever.
+fn false_deaths(world: &World) -> usize {
+    let truth = world.truth();
+    world.events.iter().filter(|(_, _, e)| matches!(e, Event::Down(id, _) if truth.contains(id))).count()
+}
+
+fn fleet(seed: u64, size: usize) -> World {
+    let mut world = World::fleet(seed, size);
+    settled(&mut world);
+    world
+}
+
+fn halves(world: &World) -> [BTreeSet<usize>; 2] {
+    let size = world.nodes.len();
+    [(0..size / 2).collect(), (size / 2..size).collect()]
+}
+
+fn cut_both_ways(world: &mut World) {
+    let [one, two] = halves(world);
+    world.cuts.push(Cut { from: one.clone(), to: two.clone() });
+    world.cuts.push(Cut { from: two, to: one });
+}
+
+/// Schedules drawn by seed; a wrong one is told with its seed and steps. More of them: `cargo run --release -p
+/// cobaltspool-fleet-sim -- schedules`.
+#[test]
+fn drawn_schedules_settle_within_the_bound() {
+    for seed in 0..150 {
+        let played = schedule::play(seed, 12);
+        assert!(played.settled.is_ok(), "{played:#?}");
+    }
+}
+
+#[test]
+fn a_killed_member_is_down_everywhere_and_its_next_start_is_alive() {
+    let mut world = fleet(1, 7);
+    world.kill(3);
+    settled(&mut world);
+    assert_eq!(world.events.iter().filter(|(_, _, e)| matches!(e, Event::Down(..))).count(), 6);
+    world.start(3);
+    settled(&mut world);
+    let generation = |n: usize| world.nodes[n].view.as_ref().unwrap().members(world.now)[3].incarnation;
+    let generations: Vec<u64> = (0..7).map(generation).collect();
+    assert_eq!(generations, [2; 7], "a newer start is above the older");
+}
+
+/// A leave is no death; a death on the way out is no leave.
+#[test]
+fn a_leave_and_a_death_are_told_apart() {
+    let mut world = fleet(2, 5);
+    world.leave(4);
+    settled(&mut world);
+    let told =
+        |world: &World, what: fn(&Event) -> bool| world.events.iter().filter(|(_, _, e)| what(e)).count();
+    assert_eq!(told(&world, |e| matches!(e, Event::Down(..) | Event::Suspected(..))), 0);
+    assert_eq!(told(&world, |e| matches!(e, Event::Left(_))), 4);
+    let (now, mut out) = (world.now, Vec::new());
+    let address = world.nodes[3].address;
+    let leaving =
+        cobaltspool_fleet::member::News { leaving: true, ..cobaltspool_fleet::member::News::at(address) };
+    world.nodes[3].view.as_mut().unwrap().tell(now, leaving, &mut out);
+    world.run(2);
+    world.kill(3);
+    settled(&mut world);
+    assert_eq!(told(&world, |e| matches!(e, Event::Down(..))), 3);
+}
+
+/// Both halves bury the other for longer than they remember the dead, and a third is started anew as the cut heals.
+#[test]
+fn halves_that_outlast_the_memory_of_the_dead_join_again() {
+    let mut world = World::new(3);
+    world.memory = 10 * PERIOD;
+    for n in 0..8 {
+        // Members of different halves share no seed once the first of each is up.
+        let seed = world.address(if n < 4 { 0 } else { 4 });
+        let bridge = if n == 4 { vec![seed, world.address(0)] } else { vec![seed] };
+        world.add(&format!("n{n}"), bridge, Vec::new());
+    }
+    settled(&mut world);
+    cut_both_ways(&mut world);
+    world.run(80);
+    for n in [0, 7] {
+        assert_eq!(world.nodes[n].view.as_ref().unwrap().members(world.now).len(), 4, "forgotten");
+    }
+    world.kill(5);
+    world.cuts.clear();
+    world.start(5);
+    settled(&mut world);
+}
+
+#[test]
+fn a_cut_one_way_and_a_ring_settle_once_they_heal() {
+    for seed in 0..10 {
+        let mut world = fleet(seed, 6);
+        world.cuts.push(Cut { from: BTreeSet::from([2]), to: (0..6).collect() });
+        world.run(40);
+        world.cuts.clear();
+        settled(&mut world);
+        for a in 0..6usize {
+            let to = (0..6).filter(|b| ![a, (a + 1) % 6, (a + 5) % 6].contains(b)).collect();
+            world.cuts.push(Cut { from: BTreeSet::from([a]), to });
+        }
+        world.run(60);
+        world.cuts.clear();
+        settled(&mut world);
+    }
+}
+
+/// A and B, B and C, not A and C: who is reached by way of another is not dead.
+#[test]
+fn a_ring_of_three_tells_no_death() {
+    for seed in 0..10 {
+        let mut world = fleet(seed, 3);
+        world.cuts.push(Cut { from: BTreeSet::from([0]), to: BTreeSet::from([2]) });
+        world.cuts.push(Cut { from: BTreeSet::from([2]), to: BTreeSet::from([0]) });
+        world.run(120);
+        assert_eq!(false_deaths(&world), 0);
+    }
+}
+
+#[test]
+fn thirty_starts_in_a_minute_leave_one_member() {
+    let mut world = fleet(4, 5);
+    for _ in 0..30 {
+        world.kill(2);
+        world.run(1);
+        world.start(2);
+        world.run(1);
+    }
+    settled(&mut world);
+}
+
+/// Half of the members are stopped for 30 s and continued at once: they doubt themselves first, and bury nobody.
+#[test]
+fn who_missed_time_buries_nobody() {
+    for seed in 0..20 {
+        let mut world = fleet(seed, 8);
+        for n in 4..8 {
+            world.stop(n, true);
+        }
+        world.run(30);
+        let before = world.events.len();
+        for n in 4..8 {
+            world.stop(n, false);
+        }
+        settled(&mut world);
+        let after = &world.events[before..];
+        assert!(after.iter().any(|(_, n, e)| *n >= 4 && matches!(e, Event::Stalled(_))));
+        let buried = |(_, n, e): &&(u64, usize, Event)| {
+            *n >= 4 && matches!(e, Event::Down(_, by) if by.as_str() == format!("n{n}"))
+        };
+        assert_eq!(after.iter().filter(buried).count(), 0, "{after:?}");
+    }
+}
+
+#[test]
+fn no_death_is_told_under_a_fifth_lost_and_200_ms_of_delay() {
+    let mut deaths = 0;
+    for seed in 0..5 {
+        let mut world = fleet(seed, 9);
+        (world.loss, world.delay) = (0.2, (150_000, 200_000));
+        world.run(180);
+        deaths += false_deaths(&world);
+    }
+    assert_eq!(deaths, 0);
+}
+
+/// Two processes under one id: both hear of it, the older start falls silent, and speaks again once the newer is gone.
+#[test]
+fn of_two_under_one_id_the_older_start_yields() {
+    for seed in 0..20 {
+        let mut world = fleet(seed, 5);
+        let seed_address = world.address(1);
+        let twin = world.add("n3", vec![seed_address], Vec::new());
+        settled(&mut world);
+        let stands_by = |world: &World, n: usize| world.nodes[n].view.as_ref().unwrap().stands_by();
+        assert!(stands_by(&world, 3) && !stands_by(&world, twin));
+        for n in [3, twin] {
+            assert!(world.nodes[n].view.as_ref().unwrap().twin().is_some(), "process {n} heard of the other");
+        }
+        world.kill(twin);
+        world.run(60);
+        assert_eq!(world.agree(), Ok(()));
+        assert!(!stands_by(&world, 3));
+    }
+}
+
+#[test]
+fn a_process_that_wakes_up_after_its_successor_joined_yields() {
+    for seed in 0..20 {
+        let mut world = fleet(seed, 5);
+        world.stop(2, true);
+        let seed_address = world.address(0);
+        let next = world.add("n2", vec![seed_address], Vec::new());
+        world.run(40);
+        world.stop(2, false);
+        settled(&mut world);
+        assert!(world.nodes[2].view.as_ref().unwrap().stands_by());
+        assert!(!world.nodes[next].view.as_ref().unwrap().stands_by());
+    }
+}
+
+/// Seven in ten of 300 die at once; the rest tell no death of each other.
+#[test]
+fn seven_in_ten_of_three_hundred_die_at_once() {
+    let mut world = fleet(5, 300);
+    for n in 0..210 {
+        world.kill(n);
+    }
+    settled(&mut world);
+    assert_eq!(false_deaths(&world), 0);
+}
+
+/// The same seed gives the same play, to the last event.
+#[test]
+fn a_schedule_plays_the_same_each_time() {
+    let (one, two) = (schedule::play(77, 9), schedule::play(77, 9));
+    assert_eq!((one.steps, one.settled), (two.steps, two.settled));
+}
