--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -86,7 +86,7 @@
         let routes = prefixes(size).len();
         group.bench_with_input(BenchmarkId::from_parameter(routes), &text, |b, text| {
             b.iter(|| {
-                sections::read_text("bench", text, &ceilings())
+                sections::read_text("bench", text, &ceilings(), None)
                     .map(|o| o.plan.section.routes.len())
                     .unwrap_or(0)
             });
@@ -114,7 +114,7 @@
     for with in ["no limits", "100000 routes"] {
         group.bench_function(with, |b| {
             let names = ["check-setup".to_string(), "order".to_string()];
-            let plan = sections::read_text("bench", &text, &ceilings()).map(|o| Rc::new(o.plan)).ok();
+            let plan = sections::read_text("bench", &text, &ceilings(), None).map(|o| Rc::new(o.plan)).ok();
             let plan = plan.filter(|_| with != "no limits");
             let live = Live::of(plan, &settings(), &names, 7);
             let mut gateway = Gateway::with(settings(), live, 7);
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -637,6 +637,11 @@
         self.active() && quiet && self.table.suspects == 0 && (self.joined || alone_long)
     }
 
+    /// Whether this is this member's id.
+    pub fn is_me(&self, id: &MemberId) -> bool {
+        self.set.id == *id
+    }
+
     /// Another was heard since the start.
     pub fn joined(&self) -> bool {
         self.joined
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -4,6 +4,7 @@
 //! goes as numbered fields: a number that this version does not know is kept as it came and passed on, within a bound, so that
 //! old and new versions read each other.
 
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
@@ -83,6 +84,13 @@
 #[derive(Clone)]
 pub struct Key(Option<[u8; blake3::KEY_LEN]>);
 
+impl fmt::Debug for Key {
+    /// A key is never written anywhere.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.0.is_some() { "a key" } else { "no key" })
+    }
+}
+
 impl Key {
     /// No key: the seal is a checksum.
     pub fn none() -> Key {
@@ -134,6 +142,12 @@
     body.frame().ok_or(Drop::Cut)
 }
 
+/// Digest of a file that is to be the same for all members.
+pub fn digest(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
+    hash.as_bytes().iter().take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
 /// About how many bytes a record takes in a frame.
 pub fn size(record: &Record) -> usize {
     let news = &record.news;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, pure};
 
+use crate::fleet::ask::Question;
 use crate::log;
 
 /// Which fronts the program has.
@@ -53,15 +54,17 @@
 #[derive(Clone, Debug)]
 pub enum Task {
     /// Run a gatekeeper.
-    Serve(Fronts, Option<PathBuf>, log::Settings, Option<Door>),
+    Serve(Fronts, Option<PathBuf>, Option<String>, log::Settings, Option<Door>),
     /// Say which version this is.
     Version,
     /// Read the files and say what is in them and what is wrong with them.
-    CheckConfig(Fronts, Option<PathBuf>, Format),
+    CheckConfig(Fronts, Option<PathBuf>, Option<String>, Format),
     /// Say what holds for a call, and where each value comes from.
     Explain(Fronts, PathBuf, Asked, Format),
     /// Print the operators' file's JSON Schema.
     Schema,
+    /// Ask a gatekeeper about its fleet.
+    Fleet(Question, Door, Format),
 }
 
 fn fronts() -> impl Parser<Fronts> {
@@ -113,21 +116,54 @@
     construct!(log::Settings { levels, form })
 }
 
+/// The member that a process is, where one file serves all.
+fn node() -> impl Parser<Option<String>> {
+    long("node")
+        .help("which member of the fleet this is; goes before 'id' in the operators' file")
+        .argument::<String>("ID")
+        .optional()
+}
+
+/// The questions about a fleet.
+fn fleet() -> impl Parser<Task> {
+    let question = |question, name, descr| {
+        let door = long("door")
+            .env("LB_OPS")
+            .help("the door of the gatekeeper that is asked")
+            .argument::<String>("HOST:PORT")
+            .map(Door);
+        let (question, format) = (pure(question), format());
+        construct!(Task::Fleet(question, door, format))
+            .to_options()
+            .descr(descr)
+            .footer("Status: 0 done, 1 refused, with its reason, 69 nobody to ask")
+            .command(name)
+    };
+    let status = question(Question::Status, "status", "Says how a gatekeeper sees its fleet");
+    let members = question(Question::Members, "members", "Prints the fleet's members as a table");
+    construct!([status, members])
+        .to_options()
+        .descr("Asks a gatekeeper about the fleet that it is part of")
+        .footer("Example: cobaltspool fleet status --door 127.0.0.1:9800 --format json")
+        .command("fleet")
+}
+
 /// The parser of the command line.
 pub fn parser() -> OptionParser<Task> {
     let some = |f: &Fronts| f.config.is_some() || f.sip.is_some();
     let of_serve = fronts().guard(some, "give --config (or LB_CONFIG), --sip, or both");
-    let (ops_of_serve, log, door) = (ops().optional(), logging(), door());
-    let serve = construct!(Task::Serve(of_serve, ops_of_serve, log, door))
+    let (ops_of_serve, node_of_serve, log, door) = (ops().optional(), node(), logging(), door());
+    let serve = construct!(Task::Serve(of_serve, ops_of_serve, node_of_serve, log, door))
         .to_options()
         .descr("Runs a gatekeeper until it is told to stop")
         .footer("Example: cobaltspool serve --sip deploy/sip.json --ops deploy/cobaltspool.json5")
         .command("serve");
     let version = pure(Task::Version).to_options().descr("Prints the version").command("version");
-    let (of_check, ops_of_check, format_of_check) = (fronts(), ops().optional(), format());
-    let check = construct!(Task::CheckConfig(of_check, ops_of_check, format_of_check))
+    let (of_check, ops_of_check, node_of_check, format_of_check) =
+        (fronts(), ops().optional(), node(), format());
+    let check = construct!(Task::CheckConfig(of_check, ops_of_check, node_of_check, format_of_check))
         .guard(
-            move |t| matches!(t, Task::CheckConfig(f, ops, _) if some(f) || ops.is_some()),
+            move |t| matches!(t, Task::CheckConfig(f, ops, _, _) if some(f) || ops.is_some()),
             "give --config, --sip, --ops, or several",
         )
         .to_options()
@@ -152,7 +188,7 @@
         .to_options()
         .descr("Prints a JSON Schema of the operators' file, for editors")
         .command("schema");
-    construct!([serve, version, check, explain, schema])
+    construct!([serve, version, check, explain, schema, fleet()])
         .to_options()
         .descr("A gatekeeper that sets calls up at shared servers and keeps them from being overrun")
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -52,7 +52,12 @@
 }
 
 /// Checks the files.
-pub fn check(fronts: &Fronts, ops_file: Option<&PathBuf>, format: Format) -> (String, bool) {
+pub fn check(
+    fronts: &Fronts,
+    ops_file: Option<&PathBuf>,
+    node: Option<&str>,
+    format: Format,
+) -> (String, bool) {
     let refused = sip_report(fronts).filter(|r| r.refused);
     let configs = match (read(fronts), format) {
         (Ok(configs), _) => configs,
@@ -67,7 +72,7 @@
     };
     let mut reports: Vec<Report> = Vec::new();
     for ceilings in ops_file.iter().flat_map(|_| ceilings(&configs)) {
-        let report = match ops_file.map(|file| sections::read(file, &ceilings)) {
+        let report = match ops_file.map(|file| sections::read(file, &ceilings, node)) {
             Some(Ok(ops)) => ops.report,
             Some(Err(report)) => report,
             None => continue,
@@ -117,7 +122,7 @@
     };
     let mut out = String::new();
     for ceilings in ceilings(&configs) {
-        let ops = match sections::read(file, &ceilings) {
+        let ops = match sections::read(file, &ceilings, None) {
             Ok(ops) => ops,
             Err(report) if format == Format::Json => {
                 return (json!({"accepted": false, "reports": [report]}).to_string() + "\n", false);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -307,6 +307,11 @@
         P_MAX * by_wait.max(s.bad * 2.0)
     }
 
+    /// So many fronts share the servers from now on.
+    pub fn shared_by(&mut self, fronts: u32) {
+        self.set.fronts = fronts.max(1);
+    }
+
     /// Wait that a sign of a pressed processor stands for, microseconds: more as bad answers recur.
     fn pressed(&self, server: ServerId) -> f64 {
         (self.servers.get(&server).map_or(0.0, |s| s.bad) * 10.0 + 2.0) * self.target()
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,297 @@
+//! The `fleet` section as it stands in the operators' file, its checks, and what holds for this process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use cobaltspool_fleet::member::{MemberId, NAME_BYTES};
+use cobaltspool_fleet::wire::Key;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::Micros;
+use crate::ops::units::Span;
+use crate::ops::{self, Finding, Path, decode};
+
+/// From one probe to the next, where the file does not say.
+const PERIOD: Micros = 1_000_000;
+/// A period is at least ...
+const PERIOD_LEAST: Micros = 100_000;
+/// ... and at most this.
+const PERIOD_MOST: Micros = 60_000_000;
+/// The dead are remembered for so long, where the file does not say.
+const MEMORY: Micros = 3_600_000_000;
+/// A key has at least so many bytes.
+const KEY_BYTES: u64 = 16;
+
+/// The section. One file may serve all members: `serve --node ID` says which one a process is, and its address and zone are
+/// then taken from `members`.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Section {
+    /// This member's id: the same after a restart. `serve --node ID` goes first.
+    pub id: Option<String>,
+    /// Where others reach it, over UDP and TCP.
+    pub address: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: Option<String>,
+    /// Whom to ask first; being one's own seed is fine.
+    pub seeds: Vec<SocketAddr>,
+    /// Members that are looked for by name.
+    pub members: BTreeMap<String, Member>,
+    /// Who keeps the fleet's log: 3, 5 or 7 ids, or none.
+    pub voters: Vec<String>,
+    /// Ways to members other than the addresses that they tell.
+    pub via: BTreeMap<String, SocketAddr>,
+    /// A voter's folder.
+    pub state: Option<PathBuf>,
+    /// A file with the fleet's key, of 16 bytes or more; needed where the address is not loopback.
+    pub key_file: Option<PathBuf>,
+    /// From one probe to the next; 100 ms to 1 min, 1 s by default. The same for all members.
+    pub period: Option<Span>,
+    /// For how long members that are down or left are listed; 1 h by default.
+    pub memory: Option<Span>,
+}
+
+/// A member that is looked for by name.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+}
+
+/// What holds for this process.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// Its id.
+    pub id: MemberId,
+    /// Where it listens and is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Whom to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Members that are looked for by name.
+    pub known: Vec<(MemberId, SocketAddr)>,
+    /// Ways to members other than the addresses that they tell.
+    pub via: BTreeMap<MemberId, SocketAddr>,
+    /// The fleet's key.
+    pub key: Key,
+    /// From one probe to the next.
+    pub period: Micros,
+    /// For how long the dead are listed.
+    pub memory: Micros,
+}
+
+/// Which part this process has in a fleet.
+#[derive(Clone, Debug, Default)]
+pub enum Part {
+    /// There is no such section.
+    #[default]
+    None,
+    /// The section serves several members, and neither it nor the command line says which one this is.
+    Nameless,
+    /// This member.
+    Member(Box<Fleet>),
+}
+
+/// The section while the file is being read.
+pub struct Draft<'a> {
+    node: Option<&'a str>,
+    section: Option<Section>,
+    part: Part,
+}
+
+impl<'a> Draft<'a> {
+    /// Nothing yet; the node is the one that the command line names.
+    pub fn new(node: Option<&'a str>) -> Draft<'a> {
+        Draft { node, section: None, part: Part::None }
+    }
+
+    /// What holds, once the file was accepted.
+    pub fn part(self) -> Part {
+        self.part
+    }
+}
+
+impl ops::Section for Draft<'_> {
+    fn key(&self) -> &'static str {
+        "fleet"
+    }
+
+    fn read(&mut self, value: Value, at: &Path, findings: &mut Vec<Finding>) {
+        self.section = decode(value, at, findings);
+    }
+
+    fn check(&mut self) -> Vec<Finding> {
+        let Some(section) = self.section.take() else { return Vec::new() };
+        let mut check = Check { at: Path::of("fleet"), findings: Vec::new() };
+        self.part = check.part(section, self.node);
+        check.findings
+    }
+}
+
+struct Check {
+    at: Path,
+    findings: Vec<Finding>,
+}
+
+impl Check {
+    fn wrong(&mut self, rule: &'static str, at: Path, text: impl Into<String>, remedy: &str) {
+        self.findings.push(Finding::error(rule, at, text, remedy));
+    }
+
+    fn id(&mut self, at: Path, text: &str) -> Option<MemberId> {
+        let id = MemberId::new(text);
+        if id.is_none() {
+            let said = format!("'{text}' is no member's id");
+            self.wrong(
+                "id",
+                at,
+                said,
+                &format!("write 1 to {NAME_BYTES} letters, digits, dots, dashes or underscores"),
+            );
+        }
+        id
+    }
+
+    fn ids<T: Copy>(&mut self, key: &str, map: impl IntoIterator<Item = (String, T)>) -> Vec<(MemberId, T)> {
+        let at = self.at.key(key);
+        map.into_iter().filter_map(|(text, value)| Some((self.id(at.name(&text), &text)?, value))).collect()
+    }
+
+    fn zone(&mut self, at: Path, zone: &str) {
+        if zone.len() > NAME_BYTES || zone.chars().any(char::is_control) {
+            let text = format!("a zone's name has {NAME_BYTES} bytes at most, and no control characters");
+            self.wrong("zone", at, text, "write a shorter name, as in \"zagreb\"");
+        }
+    }
+
+    fn part(&mut self, section: Section, node: Option<&str>) -> Part {
+        // A file for all members can be checked without being one of them.
+        let named = node.is_some() || section.id.is_some() || section.members.is_empty();
+        match self.fleet(section, node) {
+            Some(fleet) => Part::Member(Box::new(fleet)),
+            None if named => Part::None,
+            None => Part::Nameless,
+        }
+    }
+
+    fn fleet(&mut self, section: Section, node: Option<&str>) -> Option<Fleet> {
+        let named = node.and_then(|node| section.members.get(node)).cloned();
+        let id = match node.or(section.id.as_deref()) {
+            Some(text) => self.id(self.at.key("id"), text),
+            None if !section.members.is_empty() => None,
+            None => {
+                let at = self.at.key("id");
+                self.wrong(
+                    "id",
+                    at,
+                    "nothing says which member this is",
+                    "add id, or start with `serve --node ID`",
+                );
+                None
+            }
+        };
+        let address = named.as_ref().map(|m| m.address).or(section.address);
+        if address.is_none() && id.is_some() {
+            let remedy = "add address, or this member's line under members, as in \"127.0.0.1:7401\"";
+            self.wrong(
+                "address",
+                self.at.key("address"),
+                "nothing says where this member is reached",
+                remedy,
+            );
+        }
+        let zone = named.and_then(|m| m.zone).or(section.zone.clone()).unwrap_or_default();
+        self.zone(self.at.key("zone"), &zone);
+        for (name, member) in &section.members {
+            self.zone(
+                self.at.key("members").key(name).key("zone"),
+                member.zone.as_deref().unwrap_or_default(),
+            );
+        }
+        let period = section.period.map_or(PERIOD, |p| p.0);
+        if !(PERIOD_LEAST..=PERIOD_MOST).contains(&period) {
+            let at = self.at.key("period");
+            self.wrong("period", at, "a period is 100 ms to 1 min", "write one between, as in \"1s\"");
+        }
+        self.voters(&section);
+        let key = self.key(&section, address);
+        let members = section.members.iter().map(|(id, m)| (id.clone(), m.address)).collect::<Vec<_>>();
+        let known = self.ids("members", members);
+        let via = self.ids("via", section.via.clone()).into_iter().collect();
+        Some(Fleet {
+            id: id?,
+            address: address?,
+            zone,
+            seeds: section.seeds,
+            known,
+            via,
+            key: key?,
+            period,
+            memory: section.memory.map_or(MEMORY, |m| m.0),
+        })
+    }
+
+    fn voters(&mut self, section: &Section) {
+        let at = self.at.key("voters");
+        for (n, voter) in section.voters.iter().enumerate() {
+            self.id(at.index(n), voter);
+            if section.voters[..n].contains(voter) {
+                self.wrong("voters", at.index(n), format!("'{voter}' stands twice"), "leave one of them out");
+            }
+        }
+        match section.voters.len() {
+            0 => {}
+            3 | 5 | 7 => self.findings.push(
+                Finding::error(
+                    "voters",
+                    at,
+                    "this version keeps no log: voters have no effect yet",
+                    "leave them, or write [] until then",
+                )
+                .warning(),
+            ),
+            n => self.wrong("voters", at, format!("there are {n} voters"), "name 3, 5 or 7, or none"),
+        }
+    }
+
+    /// `None`: there is none that may be used.
+    fn key(&mut self, section: &Section, address: Option<SocketAddr>) -> Option<Key> {
+        let at = self.at.key("key_file");
+        let Some(path) = &section.key_file else {
+            if address.is_some_and(|a| !a.ip().is_loopback()) {
+                let text = "the address is not loopback, and frames would carry no key";
+                self.findings.push(
+                    Finding::error(
+                        "key",
+                        self.at.key("address"),
+                        text,
+                        "add key_file, the same file for all members",
+                    )
+                    .with(at, "no key here"),
+                );
+                return None;
+            }
+            return Some(Key::none());
+        };
+        let wanted = "give a readable file of 16 bytes or more, the same for all members";
+        match std::fs::metadata(path).and_then(|m| Ok((m.len(), std::fs::read(path)?))) {
+            Ok((size, _)) if !(KEY_BYTES..=4096).contains(&size) => {
+                self.wrong("key", at, format!("the key has {size} bytes, 16 to 4096 are wanted"), wanted);
+                None
+            }
+            Ok((_, bytes)) => Some(Key::of(&bytes)),
+            Err(e) => {
+                self.wrong("key", at, format!("the key cannot be read: {e}"), wanted);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/shell.rs
@@ -0,0 +1,421 @@
+//! The fleet's sockets: moves the view's frames, keeps its time, and tells it what this process does. It decides nothing, and
+//! waits for no peer: a datagram that the system does not take at once is dropped, and a stream has a bound in time.
+//!
+//! At an upgrade the newer process binds the same address once the older one, which knows by `platform::sibling` that the newer
+//! serves, has closed its sockets: the two are one member, and its newer start.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cobaltspool_fleet::fronts::Seen;
+use cobaltspool_fleet::member::News;
+use cobaltspool_fleet::view::{Event, Out, Setup, To, View};
+use cobaltspool_fleet::wire::{self, DATAGRAM_BYTES, Drop, Frame, STREAM_BYTES};
+use rand_core::{OsRng, TryRngCore};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::settings::Fleet;
+use super::status::{Dropped, Status};
+use super::stream;
+use crate::Micros;
+use crate::clock;
+use crate::operate::{self, Desk};
+
+/// Most datagrams read a second; further ones are dropped unread.
+const DATAGRAMS: u32 = 4_000;
+/// Datagrams in a row before others have their turn.
+const IN_A_ROW: usize = 32;
+/// Streams held open by others, at most.
+const STREAMS_IN: usize = 4;
+/// Streams held open to others, at most.
+const STREAMS_OUT: usize = 2;
+/// Between tries to bind an address that another process has.
+const BIND_AGAIN: Duration = Duration::from_millis(250);
+
+/// An address that was bound, over UDP and TCP.
+struct Bound {
+    udp: Rc<UdpSocket>,
+    tcp: TcpListener,
+    address: SocketAddr,
+}
+
+/// Binds the address. Port 0 takes one that is free for both.
+async fn try_bind(address: SocketAddr) -> io::Result<Bound> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..if address.port() == 0 { 16 } else { 1 } {
+        let tcp = TcpListener::bind(address).await?;
+        let address = tcp.local_addr()?;
+        match UdpSocket::bind(address).await {
+            Ok(udp) => return Ok(Bound { udp: Rc::new(udp), tcp, address }),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+/// One member, as the program holds it.
+struct Member {
+    set: Fleet,
+    view: RefCell<View>,
+    started: Instant,
+    dropped: Cell<Dropped>,
+    /// What datagrams go out by, while this process takes part.
+    udp: RefCell<Option<Rc<UdpSocket>>>,
+    streams_out: Cell<usize>,
+    seen: watch::Sender<(Micros, Seen)>,
+    /// Digest of the operators' file.
+    ops: u64,
+    address: Cell<SocketAddr>,
+}
+
+impl operate::Fleet for Member {
+    fn status(&self) -> String {
+        let view = self.view.borrow();
+        let status = Status::of(&view, self.now(), self.set.period, self.dropped.get());
+        serde_json::to_string(&status).unwrap_or_default()
+    }
+
+    fn seen(&self) -> watch::Receiver<(Micros, Seen)> {
+        self.seen.subscribe()
+    }
+}
+
+/// This process as a member, before it takes part.
+pub struct Joined {
+    member: Rc<Member>,
+    bound: Option<Bound>,
+    desk: Rc<Desk>,
+}
+
+/// Binds the address and tells the desk of the fleet. An address that another process has is no error: it may be the older one
+/// of an upgrade. `ops` is the digest of the operators' file.
+pub async fn join(set: Fleet, ops: u64, desk: &Rc<Desk>) -> Result<Joined, String> {
+    let bound = match try_bind(set.address).await {
+        Ok(bound) => Some(bound),
+        Err(e) if e.kind() == io::ErrorKind::AddrInUse => None,
+        Err(e) => {
+            return Err(format!("cannot bind the fleet's address {}: {e}; see fleet.address", set.address));
+        }
+    };
+    let draw =
+        || OsRng.try_next_u64().map_err(|e| format!("the fleet needs the system's random numbers: {e}"));
+    let address = bound.as_ref().map_or(set.address, |b| b.address);
+    let setup = Setup {
+        id: set.id.clone(),
+        zone: set.zone.as_str().into(),
+        version: env!("CARGO_PKG_VERSION").into(),
+        address,
+        seeds: set.seeds.clone(),
+        known: set.known.clone(),
+        period: set.period,
+        memory: set.memory,
+        nonce: draw()? | 1,
+    };
+    let settling = View::bound(set.period, set.known.len());
+    let member = Rc::new(Member {
+        view: RefCell::new(View::new(0, setup, draw()?)),
+        started: Instant::now(),
+        dropped: Cell::default(),
+        udp: RefCell::default(),
+        streams_out: Cell::new(0),
+        seen: watch::Sender::new((settling, Seen::default())),
+        ops,
+        address: Cell::new(address),
+        set,
+    });
+    desk.attend_fleet(member.clone());
+    Ok(Joined { member, bound, desk: desk.clone() })
+}
+
+impl Joined {
+    /// Takes part in the fleet until `stop`, then says that it leaves.
+    pub async fn serve(self, stop: impl Future<Output = ()>) {
+        let Joined { member, mut bound, desk } = self;
+        tokio::pin!(stop);
+        loop {
+            // An older process of an upgrade closes its sockets, and opens them again should the newer one die.
+            let next = async {
+                match bound.take() {
+                    Some(bound) => bound,
+                    None => member.bind_when_free(&desk).await,
+                }
+            };
+            let next = tokio::select! {
+                next = next => next,
+                () = &mut stop => return,
+            };
+            tokio::select! {
+                () = member.take_part(&next, &desk) => {}
+                () = &mut stop => return member.leave(),
+            }
+        }
+    }
+}
+
+impl Member {
+    fn now(&self) -> Micros {
+        self.started.elapsed().as_micros() as Micros
+    }
+
+    fn count(&self, what: impl FnOnce(&mut Dropped)) {
+        let mut dropped = self.dropped.get();
+        what(&mut dropped);
+        self.dropped.set(dropped);
+    }
+
+    async fn bind_when_free(&self, desk: &Desk) -> Bound {
+        let mut told = false;
+        loop {
+            if !desk.is_succeeded() {
+                match try_bind(self.address.get()).await {
+                    Ok(bound) => return bound,
+                    Err(e) if !told => {
+                        told = true;
+                        tracing::warn!(
+                            target: "fleet", address = %self.address.get(), error = %e,
+                            "the fleet's address is taken: the older process of an upgrade, or another one; tried again"
+                        );
+                    }
+                    Err(_) => {}
+                }
+            }
+            sleep(BIND_AGAIN).await;
+        }
+    }
+
+    /// Until a newer process of this gatekeeper serves.
+    async fn take_part(self: &Rc<Self>, bound: &Bound, desk: &Desk) {
+        tracing::info!(target: "fleet", id = %self.set.id, address = %bound.address, "takes part in the fleet");
+        *self.udp.borrow_mut() = Some(bound.udp.clone());
+        tokio::select! {
+            () = self.hear(&bound.udp) => {}
+            () = self.accept(&bound.tcp) => {}
+            () = self.keep_time(desk) => {}
+        }
+        *self.udp.borrow_mut() = None;
+    }
+
+    async fn hear(self: &Rc<Self>, udp: &UdpSocket) {
+        let mut buffer = [0; DATAGRAM_BYTES + 1];
+        let (mut since, mut count, mut row) = (Instant::now(), 0, 0);
+        loop {
+            let (size, from) = match udp.recv_from(&mut buffer).await {
+                Ok(got) => got,
+                // Told of a datagram that nobody took: no reason to stop.
+                Err(_) => {
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+            };
+            if since.elapsed() >= Duration::from_secs(1) {
+                (since, count) = (Instant::now(), 0);
+            }
+            count += 1;
+            if count > DATAGRAMS {
+                self.count(|d| d.flood += 1);
+            } else if let Some(frame) = self.read(&buffer[..size], DATAGRAM_BYTES) {
+                let mut out = Vec::new();
+                self.view.borrow_mut().take(self.now(), frame, &mut out);
+                self.carry_out(out, Some(from));
+            }
+            row += 1;
+            if row >= IN_A_ROW {
+                row = 0;
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
+    fn read(&self, bytes: &[u8], most: usize) -> Option<Frame> {
+        match wire::decode(bytes, most, &self.set.key) {
+            Ok(frame) => Some(frame),
+            Err(why) => {
+                self.count(|d| match why {
+                    Drop::Cut => d.cut += 1,
+                    Drop::Oversized => d.oversized += 1,
+                    Drop::Forged => d.forged += 1,
+                    Drop::Version => d.version += 1,
+                });
+                None
+            }
+        }
+    }
+
+    async fn accept(self: &Rc<Self>, tcp: &TcpListener) {
+        let places = Rc::new(());
+        loop {
+            let Ok((mut stream, _)) = tcp.accept().await else {
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            if Rc::strong_count(&places) > STREAMS_IN {
+                self.count(|d| d.streams += 1);
+                continue;
+            }
+            let (member, place) = (self.clone(), places.clone());
+            tokio::task::spawn_local(async move {
+                let whole = async {
+                    let Some(bytes) = stream::read(&mut stream).await? else {
+                        member.count(|d| d.oversized += 1);
+                        return Ok(());
+                    };
+                    let Some(frame) = member.read(&bytes, STREAM_BYTES) else { return Ok(()) };
+                    let answer = {
+                        let mut view = member.view.borrow_mut();
+                        view.active().then(|| view.exchange(member.now()))
+                    };
+                    member.take_table(frame);
+                    match answer {
+                        Some(answer) => {
+                            stream::write(&mut stream, &wire::encode(&answer, &member.set.key)).await
+                        }
+                        None => Ok(()),
+                    }
+                };
+                // An exchange that fails or takes too long is made up for by the next.
+                let _ = timeout(stream::WHOLE, whole).await;
+                drop(place);
+            });
+        }
+    }
+
+    fn take_table(self: &Rc<Self>, frame: Frame) {
+        let mut out = Vec::new();
+        self.view.borrow_mut().take_exchange(self.now(), frame, &mut out);
+        self.carry_out(out, None);
+    }
+
+    fn exchange(self: &Rc<Self>, to: &To, back: Option<SocketAddr>) {
+        let Some(address) = self.way(to, back) else { return };
+        if self.streams_out.get() >= STREAMS_OUT {
+            return; // another is under way; differences are found again
+        }
+        self.streams_out.set(self.streams_out.get() + 1);
+        let member = self.clone();
+        tokio::task::spawn_local(async move {
+            let whole = async {
+                let mut stream = TcpStream::connect(address).await?;
+                let own = member.view.borrow_mut().exchange(member.now());
+                stream::write(&mut stream, &wire::encode(&own, &member.set.key)).await?;
+                if let Some(frame) =
+                    stream::read(&mut stream).await?.and_then(|b| member.read(&b, STREAM_BYTES))
+                {
+                    member.take_table(frame);
+                }
+                Ok::<_, io::Error>(())
+            };
+            let _ = timeout(stream::WHOLE, whole).await;
+            member.streams_out.set(member.streams_out.get() - 1);
+        });
+    }
+
+    /// Ticks and news, until a newer process serves.
+    async fn keep_time(self: &Rc<Self>, desk: &Desk) {
+        loop {
+            let now = self.now();
+            let mut out = Vec::new();
+            let wait = {
+                let mut view = self.view.borrow_mut();
+                view.tell(now, self.news(desk), &mut out);
+                view.tick(now, &mut out);
+                let (live, down) = view.counts();
+                let seen = Seen {
+                    live: live as u32,
+                    unseen: down as u32,
+                    settled: view.settled(now),
+                    joined: view.joined(),
+                };
+                let bound = View::bound(self.set.period, live + down);
+                self.seen.send_replace((bound, seen));
+                view.next_due().saturating_sub(now)
+            };
+            self.carry_out(out, None);
+            if desk.is_succeeded() {
+                tracing::info!(target: "fleet", "a newer process of this gatekeeper serves: it is this member from now on");
+                return;
+            }
+            sleep(Duration::from_micros(wait)).await;
+        }
+    }
+
+    fn news(&self, desk: &Desk) -> News {
+        let age = desk.listed().map(|at| clock::now().saturating_sub(at) / 1000);
+        News {
+            ready: desk.ready(),
+            draining: desk.is_out(),
+            leaving: desk.is_stopping(),
+            calls: u32::try_from(desk.calls()).unwrap_or(u32::MAX),
+            list_age: age,
+            ops: self.ops,
+            ..News::at(self.address.get())
+        }
+    }
+
+    fn way(&self, to: &To, back: Option<SocketAddr>) -> Option<SocketAddr> {
+        match to {
+            To::Member(id, told) => Some(self.set.via.get(id).copied().unwrap_or(*told)),
+            To::Address(address) => Some(*address),
+            To::Back => back,
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, out: Vec<Out>, back: Option<SocketAddr>) {
+        let udp = self.udp.borrow().clone();
+        for out in out {
+            match out {
+                Out::Event(event) => self.log(event),
+                Out::Exchange(to) => self.exchange(&to, back),
+                Out::Datagram(to, frame) => {
+                    let Some(address) = self.way(&to, back) else { continue };
+                    let bytes = wire::encode(&frame, &self.set.key);
+                    if udp.as_ref().is_none_or(|udp| udp.try_send_to(&bytes, address).is_err()) {
+                        self.count(|d| d.unsent += 1);
+                    }
+                }
+            }
+        }
+    }
+
+    fn leave(self: &Rc<Self>) {
+        let mut out = Vec::new();
+        self.view.borrow_mut().leave(self.now(), &mut out);
+        self.carry_out(out, None);
+        tracing::info!(target: "fleet", "has left the fleet");
+    }
+
+    fn log(&self, event: Event) {
+        match event {
+            Event::Joined(id) => tracing::info!(target: "fleet", member = %id, "joined"),
+            Event::Suspected(id, by) => tracing::info!(target: "fleet", member = %id, %by, "suspect"),
+            Event::Down(id, by) => tracing::warn!(target: "fleet", member = %id, %by, "down"),
+            Event::Back(id) => tracing::info!(target: "fleet", member = %id, "back"),
+            Event::Left(id) => tracing::info!(target: "fleet", member = %id, "left"),
+            Event::Refuted => tracing::info!(target: "fleet", "was doubted, and says that it is there"),
+            Event::Stalled(missed) => {
+                tracing::warn!(target: "fleet", missed_ms = missed / 1000, "missed time: doubts itself, and not the others");
+            }
+            Event::Twin(twin) => {
+                let (address, age_ms) = (twin.address, twin.age / 1000);
+                tracing::error!(target: "fleet", id = %self.set.id, %address, age_ms, "another process runs under this id");
+            }
+            Event::Yielded(twin) => {
+                tracing::error!(
+                    target: "fleet", id = %self.set.id, address = %twin.address,
+                    "it is the newer start: this one is silent in the fleet until the id is free"
+                );
+            }
+            Event::Resumed => {
+                tracing::warn!(target: "fleet", id = %self.set.id, "the id is free: speaks again")
+            }
+            Event::Settled(live) => tracing::info!(target: "fleet", live, "settled"),
+            Event::Full(id) => {
+                tracing::warn!(target: "fleet", member = %id, "the table is full: not taken in")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/status.rs
@@ -0,0 +1,203 @@
+//! What staff read of the fleet: the object of `GET /control/fleet`, and its tables. Its names are read by other tools.
+
+use std::net::SocketAddr;
+
+use cobaltspool_fleet::Micros;
+use cobaltspool_fleet::view::{Shown, View};
+use serde::{Deserialize, Serialize};
+
+/// The object. A part that is not configured or not built is null or empty.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Who tells it.
+    pub id: String,
+    /// No suspect, and no change for three periods.
+    pub settled: bool,
+    /// Of the voters; there are none yet.
+    pub majority: Option<bool>,
+    /// All members, this one among them.
+    pub members: Vec<Member>,
+    /// This one as a voter; there are none yet.
+    pub voter: Option<serde_json::Value>,
+    /// Owners of work; there are none yet.
+    pub owners: Vec<serde_json::Value>,
+    /// Who is out; nothing counts them yet.
+    pub out: Vec<serde_json::Value>,
+    /// A release; there is none yet.
+    pub release: Option<serde_json::Value>,
+    /// This process has yielded to a newer start under its id, and is silent in the fleet.
+    pub stands_by: bool,
+    /// The other process under its id, where one is known.
+    pub twin: Option<Twin>,
+    /// Frames that were dropped, by cause.
+    pub dropped: Dropped,
+    /// The settling bound at this size, in milliseconds.
+    pub bound_ms: u64,
+}
+
+/// A member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its id.
+    pub id: String,
+    /// alive, suspect, down or left.
+    pub state: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Above that of each earlier start.
+    pub incarnation: u64,
+    /// Its program's version.
+    pub version: String,
+    /// How long ago it was heard itself; null: never, or it is the one that tells.
+    pub heard_ms: Option<u64>,
+    /// Who said first that it is suspect or down.
+    pub by: Option<String>,
+    /// It takes clients.
+    pub ready: bool,
+    /// Staff have sent its clients away.
+    pub draining: bool,
+    /// It is on its way out.
+    pub leaving: bool,
+    /// Calls open and standing, of late.
+    pub calls: u32,
+    /// The age of its list of servers when it last told; null: it has none.
+    pub list_age_ms: Option<u64>,
+    /// Digest of its operators' file, in hex.
+    pub ops: String,
+}
+
+/// The other process under one id.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Twin {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// How long it had run when it was last heard of.
+    pub age_ms: u64,
+}
+
+/// Frames that were dropped, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dropped {
+    /// Too short, or not to be read.
+    pub cut: u64,
+    /// Longer than may be.
+    pub oversized: u64,
+    /// Not sealed with this fleet's key.
+    pub forged: u64,
+    /// Of another version of the protocol.
+    pub version: u64,
+    /// Played again, or meant for an earlier start.
+    pub replayed: u64,
+    /// More came in a second than is read.
+    pub flood: u64,
+    /// More streams at a time than are held.
+    pub streams: u64,
+    /// The system did not take it at once.
+    pub unsent: u64,
+}
+
+impl Status {
+    /// As it is now.
+    pub fn of(view: &View, now: Micros, period: Micros, dropped: Dropped) -> Status {
+        let members = view.members(now);
+        let me = members.iter().find(|m| view.is_me(&m.id));
+        let twin = view.twin().map(|t| Twin { address: t.address, age_ms: t.age / 1000 });
+        Status {
+            id: me.map(|m| m.id.to_string()).unwrap_or_default(),
+            settled: view.settled(now),
+            majority: None,
+            voter: None,
+            owners: Vec::new(),
+            out: Vec::new(),
+            release: None,
+            stands_by: view.stands_by(),
+            twin,
+            dropped: Dropped { replayed: dropped.replayed + view.drops().replayed, ..dropped },
+            bound_ms: View::bound(period, members.len()) / 1000,
+            members: members.into_iter().map(Member::of).collect(),
+        }
+    }
+
+    /// For people.
+    pub fn render(&self) -> String {
+        let live = self.members.iter().filter(|m| m.state == "alive" || m.state == "suspect").count();
+        let mut out = format!(
+            "{}: {live} of {} members live, {}\n",
+            self.id,
+            self.members.len(),
+            if self.settled { "settled" } else { "not settled" }
+        );
+        if let Some(twin) = &self.twin {
+            let what = if self.stands_by { "stands by for it" } else { "is the newer start" };
+            out.push_str(&format!(
+                "another process runs as {} at {}; this one {what}\n",
+                self.id, twin.address
+            ));
+        }
+        let dropped = serde_json::to_value(self.dropped).unwrap_or_default();
+        let causes: Vec<String> = dropped
+            .as_object()
+            .into_iter()
+            .flatten()
+            .filter(|(_, n)| n.as_u64() != Some(0))
+            .map(|(cause, n)| format!("{n} {cause}"))
+            .collect();
+        if !causes.is_empty() {
+            out.push_str(&format!("frames dropped: {}\n", causes.join(", ")));
+        }
+        out + &table(&self.members)
+    }
+}
+
+/// The members as a table for people.
+pub fn table(members: &[Member]) -> String {
+    let head = ["ID", "STATE", "ZONE", "ADDRESS", "INCARNATION", "VERSION", "HEARD", "CALLS", "DOES"];
+    let mut rows: Vec<Vec<String>> = vec![head.map(str::to_string).to_vec()];
+    for m in members {
+        let does = [(m.leaving, "leaves"), (m.draining, "drains"), (m.ready, "serves")];
+        let does = does.into_iter().find(|(is, _)| *is).map_or("waits", |(_, word)| word);
+        let by = m.by.as_ref().map(|by| format!(" ({by})")).unwrap_or_default();
+        rows.push(vec![
+            m.id.clone(),
+            format!("{}{by}", m.state),
+            m.zone.clone(),
+            m.address.to_string(),
+            m.incarnation.to_string(),
+            m.version.clone(),
+            m.heard_ms.map_or("-".to_string(), |ms| format!("{ms} ms")),
+            m.calls.to_string(),
+            if m.state == "alive" { does.to_string() } else { "-".to_string() },
+        ]);
+    }
+    let widths: Vec<usize> =
+        (0..head.len()).map(|n| rows.iter().map(|r| r[n].chars().count()).max().unwrap_or(0)).collect();
+    let line = |row: Vec<String>| {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_string() + "\n"
+    };
+    rows.into_iter().map(line).collect()
+}
+
+impl Member {
+    fn of(shown: Shown) -> Member {
+        let news = shown.news;
+        Member {
+            id: shown.id.to_string(),
+            state: shown.state.name().to_string(),
+            zone: news.zone.to_string(),
+            address: news.address,
+            incarnation: shown.incarnation,
+            version: news.version.to_string(),
+            heard_ms: shown.heard.map(|t| t / 1000),
+            by: shown.by.map(|by| by.to_string()),
+            ready: news.ready,
+            draining: news.draining,
+            leaving: news.leaving,
+            calls: news.calls,
+            list_age_ms: news.list_age,
+            ops: format!("{:016x}", news.ops),
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -343,6 +343,16 @@
         (silent, self.route.report(server), self.route.drains_since(server))
     }
 
+    /// So many gatekeepers share the servers from now on.
+    pub fn shared_by(&mut self, gatekeepers: u32) {
+        self.module.shared_by(gatekeepers);
+    }
+
+    /// How many gatekeepers share the servers by the configuration.
+    pub fn configured(&self) -> u32 {
+        self.set.fronts
+    }
+
     /// Another process of this gatekeeper takes calls too, or does no longer.
     pub fn share(&mut self, shared: bool) {
         self.limits.share(self.now, shared);
--- a/src/host.rs
+++ b/src/host.rs
@@ -7,6 +7,8 @@
 
 use tokio::sync::{Notify, watch};
 
+use cobaltspool_fleet::fronts::{Fronts, Seen};
+
 use crate::Micros;
 use crate::clock;
 use crate::gateway::{Command, Gateway, Input};
@@ -33,8 +35,8 @@
     classes: Vec<String>,
     /// Whether clients are welcome.
     pub service: Service,
-    /// A list of servers has come: before that no call could go anywhere.
-    pub listed: bool,
+    /// When the last list of servers came: before the first no call could go anywhere.
+    pub listed: Option<Micros>,
 }
 
 impl Host {
@@ -48,13 +50,13 @@
             wake: Rc::new(Notify::new()),
             classes,
             service: Service::default(),
-            listed: false,
+            listed: None,
         }
     }
 
     /// Whether this process takes clients: they are welcome, and there is a list.
     pub fn ready(&self) -> bool {
-        self.listed && self.service.takes_clients()
+        self.listed.is_some() && self.service.takes_clients()
     }
 
     /// The core's figures now.
@@ -142,6 +144,35 @@
     fn figures(&self) -> Figures {
         self.borrow_mut().host().figures()
     }
+
+    fn succeeded(&self) -> bool {
+        self.borrow_mut().host().service.succeeded_by()
+    }
+
+    fn listed(&self) -> Option<Micros> {
+        self.borrow_mut().host().listed
+    }
+}
+
+/// What the fleet's view says from moment to moment; `None`: there is no fleet.
+pub type Fleet = Option<watch::Receiver<(Micros, Seen)>>;
+
+/// Tells the core how many gatekeepers share the servers, for ever. `bound` is how long a fall has to be settled.
+async fn follow_fleet<F: Front>(front: &RefCell<F>, fleet: Fleet) {
+    let Some(mut fleet) = fleet else { return std::future::pending().await };
+    let configured = front.borrow_mut().host().gateway.configured();
+    let bound = fleet.borrow().0;
+    let (mut fronts, mut held) = (Fronts::new(configured, bound), configured);
+    while fleet.changed().await.is_ok() {
+        let (_, seen) = *fleet.borrow_and_update();
+        let now = fronts.at(clock::now(), seen);
+        if now != held {
+            tracing::info!(target: "fleet", from = held, to = now, "gatekeepers that share the servers");
+            front.borrow_mut().host().gateway.shared_by(now);
+            held = now;
+        }
+    }
+    std::future::pending().await
 }
 
 /// Runs a front's tasks until it is told to stop and has nothing left to do. `tasks` go on for ever.
@@ -175,6 +206,7 @@
         () = told => {}
         () = ordered => {}
         () = keep_time(&front) => {}
+        () = follow_fleet(&front, desk.fleet_seen()) => {}
     }
     tokio::time::sleep(LAST_WORDS).await;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod config;
 pub mod config_check;
 mod decide;
+pub mod fleet;
 pub mod gateway;
 pub mod host;
 mod interface;
--- a/src/limits/live/tests.rs
+++ b/src/limits/live/tests.rs
@@ -19,7 +19,7 @@
         classes: Some(vec![class]),
         ..Ceilings::default()
     };
-    let read = sections::read_text("test", &format!("{{limits: {limits}}}"), &ceilings);
+    let read = sections::read_text("test", &format!("{{limits: {limits}}}"), &ceilings, None);
     Rc::new(read.unwrap_or_else(|report| panic!("{}", report.render())).plan)
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,13 +4,15 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cobaltspool::cli::{self, Door, Fronts, Task};
 use cobaltspool::commands::{self, Configs, read};
+use cobaltspool::fleet::settings::Part;
 use cobaltspool::limits::{Ceilings, Plan};
 use cobaltspool::operate::{Desk, door};
 use cobaltspool::sections::{self, Ops};
-use cobaltspool::{log, platform, sip};
+use cobaltspool::{fleet, log, platform, sip};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
@@ -23,13 +25,24 @@
         if well { ExitCode::SUCCESS } else { ExitCode::FAILURE }
     };
     let done = match cli::parser().run() {
-        Task::Serve(fronts, ops, log, door) => start(&fronts, ops.as_deref(), log, door),
+        Task::Serve(fronts, ops, node, log, door) => {
+            start(&fronts, ops.as_deref(), node.as_deref(), log, door)
+        }
         Task::Version => {
             println!("cobaltspool {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Task::CheckConfig(fronts, ops, format) => {
-            return print(commands::check(&fronts, ops.as_ref(), format));
+        Task::CheckConfig(fronts, ops, node, format) => {
+            return print(commands::check(&fronts, ops.as_ref(), node.as_deref(), format));
+        }
+        Task::Fleet(question, door, format) => {
+            return match address_of(&door) {
+                Ok(door) => fleet::ask::ask(question, door, format),
+                Err(e) => {
+                    eprintln!("cobaltspool: {e}");
+                    ExitCode::FAILURE
+                }
+            };
         }
         Task::Explain(fronts, ops, asked, format) => {
             return print(commands::explain(&fronts, &ops, &asked, format));
@@ -49,41 +62,50 @@
 }
 
 /// Reads the operators' file, if there is one, against what each front's installation permits, in the fronts' order.
-fn read_ops(path: Option<&Path>, ceilings: &[Ceilings]) -> Result<Vec<Ops>, String> {
+fn read_ops(path: Option<&Path>, ceilings: &[Ceilings], node: Option<&str>) -> Result<Vec<Ops>, String> {
     let Some(path) = path else { return Ok(Vec::new()) };
     let read = |ceilings: &Ceilings| {
-        sections::read(path, ceilings)
+        sections::read(path, ceilings, node)
             .map_err(|report| format!("{} is refused\n{}", path.display(), report.render()))
     };
     ceilings.iter().map(read).collect()
 }
 
-fn start(fronts: &Fronts, file: Option<&Path>, log: log::Settings, door: Option<Door>) -> Result<(), String> {
+fn start(
+    fronts: &Fronts,
+    file: Option<&Path>,
+    node: Option<&str>,
+    log: log::Settings,
+    door: Option<Door>,
+) -> Result<(), String> {
     let configs = read(fronts)?;
     let door = door_of(door, &configs)?;
     let ceilings = commands::ceilings(&configs);
-    let ops = read_ops(file, &ceilings)?;
+    let ops = read_ops(file, &ceilings, node)?;
     let written = ops.first().map(|o| o.log.clone()).unwrap_or_default();
     let _guard = log::start(log.or(written))?;
     warn_of(&ops);
-    serve(fronts, configs, &Operators { file, ceilings }, ops, door)
+    serve(fronts, configs, &Operators { file, ceilings, node }, ops, door)
 }
 
 /// Where operators connect: what the command line or LB_OPS says goes before the configuration.
 fn door_of(given: Option<Door>, (config, sip): &Configs) -> Result<Option<SocketAddr>, String> {
-    match given.map(|Door(text)| text).filter(|text| !text.is_empty()) {
-        Some(text) => {
-            let unread = || format!("--door or LB_OPS: '{text}' is no address; write HOST:PORT with numbers");
-            text.parse().map(Some).map_err(|_| unread())
-        }
+    match given.filter(|Door(text)| !text.is_empty()) {
+        Some(door) => address_of(&door).map(Some),
         None => Ok(config.as_ref().and_then(|c| c.ops).or(sip.as_ref().and_then(|c| c.ops))),
     }
 }
 
+fn address_of(Door(text): &Door) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_| format!("--door or LB_OPS: '{text}' is no address; write HOST:PORT with numbers"))
+}
+
 /// The operators' file and what it is checked against.
 struct Operators<'a> {
     file: Option<&'a Path>,
     ceilings: Vec<Ceilings>,
+    node: Option<&'a str>,
 }
 
 fn warn_of(ops: &[Ops]) {
@@ -118,6 +140,7 @@
         let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
         let dns = watch::Sender::new(config.as_ref().map_or(nobody, |c| c.dns));
         let sip_dns = watch::Sender::new(sip.as_ref().map_or(nobody, |c| c.dns));
+        let part = ops.first().map(|o| (o.fleet.clone(), o.digest)).unwrap_or_default();
         // One plan a front, in the fronts' order.
         let mut plans = ops.into_iter().map(|o| Rc::new(o.plan));
         let plan = watch::Sender::new(config.as_ref().and_then(|_| plans.next()));
@@ -134,6 +157,20 @@
                 None => std::future::pending().await,
             }
         };
+        // The fleet hears of the end once the fronts have come to theirs.
+        let (ends, ended) = watch::channel(false);
+        let member = match part {
+            (Part::Member(set), digest) => {
+                let part = fleet::join(*set, digest, &desk).await?;
+                Some(tokio::task::spawn_local(part.serve(told(ended))))
+            }
+            (Part::Nameless, _) => {
+                return Err(
+                    "the operators' file serves several members of a fleet; start with --node ID".to_string()
+                );
+            }
+            (Part::None, _) => None,
+        };
         let platform = async {
             let Some(config) = config else { return Ok(()) };
             platform::serve(config, dns.subscribe(), plan.subscribe(), desk.clone(), told(stopped.clone()))
@@ -144,11 +181,16 @@
             sip::serve(config, sip_dns.subscribe(), sip_plan.subscribe(), desk.clone(), told(stopped.clone()))
                 .await
         };
-        tokio::select! {
+        let done = tokio::select! {
             done = async { tokio::try_join!(platform, sip) } => done.map(|_| ()),
             () = door => Ok(()),
             () = reload(fronts, operators, hup, [&dns, &sip_dns], &limits) => Ok(()),
+        };
+        let _ = ends.send(true);
+        if let Some(member) = member {
+            let _ = tokio::time::timeout(Duration::from_millis(200), member).await;
         }
+        done
     })
 }
 
@@ -163,7 +205,8 @@
     limits: &[&Plans],
 ) {
     while hup.recv().await.is_some() {
-        let read = read(fronts).and_then(|c| Ok((c, read_ops(operators.file, &operators.ceilings)?)));
+        let read = read(fronts)
+            .and_then(|c| Ok((c, read_ops(operators.file, &operators.ceilings, operators.node)?)));
         let ((config, sip), ops) = match read {
             Ok(read) => read,
             Err(e) => {
--- a/src/operate/http.rs
+++ b/src/operate/http.rs
@@ -74,12 +74,19 @@
     pub allow: Option<&'static str>,
     /// Its text.
     pub body: String,
+    /// It is a JSON object.
+    pub json: bool,
 }
 
 impl Answer {
     /// An answer with a line of text.
     pub fn new(status: u16, text: impl Into<String>) -> Answer {
-        Answer { status, allow: None, body: text.into() }
+        Answer { status, allow: None, body: text.into(), json: false }
+    }
+
+    /// An answer with a JSON object.
+    pub fn json(object: String) -> Answer {
+        Answer { json: true, ..Answer::new(200, object) }
     }
 
     /// An answer that says no more than its status does.
@@ -95,8 +102,8 @@
         }
         let _ = write!(
             text,
-            "Content-Type: text/plain; version=0.0.4; charset=utf-8\r\nContent-Length: {}\r\n\
-             Cache-Control: no-store\r\nConnection: close\r\n\r\n",
+            "Content-Type: {}\r\nContent-Length: {}\r\nCache-Control: no-store\r\nConnection: close\r\n\r\n",
+            if self.json { "application/json" } else { "text/plain; version=0.0.4; charset=utf-8" },
             self.body.len()
         );
         if !head_only {
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -13,8 +13,11 @@
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
+use cobaltspool_fleet::fronts::Seen;
 use tokio::sync::watch;
 
+use crate::Micros;
+
 use figures::Figures;
 use http::Answer;
 
@@ -25,6 +28,21 @@
 
     /// Its figures now.
     fn figures(&self) -> Figures;
+
+    /// Another process of this gatekeeper takes clients at its address.
+    fn succeeded(&self) -> bool;
+
+    /// When its last list of servers came.
+    fn listed(&self) -> Option<Micros>;
+}
+
+/// The fleet, as the operators see it.
+pub trait Fleet {
+    /// The object that `GET /control/fleet` answers.
+    fn status(&self) -> String;
+
+    /// What the fronts hear of it.
+    fn seen(&self) -> watch::Receiver<(Micros, Seen)>;
 }
 
 /// What the door's calls act on.
@@ -35,6 +53,7 @@
     fronts: Cell<usize>,
     out: watch::Sender<bool>,
     stopping: Cell<bool>,
+    fleet: RefCell<Option<Rc<dyn Fleet>>>,
 }
 
 impl Desk {
@@ -48,6 +67,41 @@
         self.views.borrow_mut().push(view);
     }
 
+    /// This gatekeeper is one of a fleet.
+    pub fn attend_fleet(&self, fleet: Rc<dyn Fleet>) {
+        *self.fleet.borrow_mut() = Some(fleet);
+    }
+
+    /// What the fleet's view says, where there is a fleet.
+    pub fn fleet_seen(&self) -> Option<watch::Receiver<(Micros, Seen)>> {
+        self.fleet.borrow().as_ref().map(|fleet| fleet.seen())
+    }
+
+    /// Staff have sent clients away.
+    pub fn is_out(&self) -> bool {
+        *self.out.borrow()
+    }
+
+    /// The program has been told to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Another process of this gatekeeper takes clients at its address.
+    pub fn is_succeeded(&self) -> bool {
+        self.fronts().iter().any(|front| front.succeeded())
+    }
+
+    /// Calls open and standing.
+    pub fn calls(&self) -> usize {
+        self.fronts().iter().map(|front| front.figures().in_flight).sum()
+    }
+
+    /// When the older of the fronts' lists came; `None`: one has none.
+    pub fn listed(&self) -> Option<Micros> {
+        self.fronts().iter().map(|front| front.listed()).min().flatten()
+    }
+
     /// Tells whether the gatekeeper is to be out of service.
     pub fn orders(&self) -> watch::Receiver<bool> {
         self.out.subscribe()
@@ -79,7 +133,7 @@
     /// Carries a call out and answers it.
     pub fn answer(&self, method: &str, path: &str) -> Answer {
         let allow = match path {
-            "/control/ready" | "/control/counters" => "GET, HEAD",
+            "/control/ready" | "/control/counters" | "/control/fleet" => "GET, HEAD",
             "/control/out-of-service" | "/control/in-service" => "PUT",
             _ => return Answer::new(404, "no such call\n"),
         };
@@ -90,6 +144,13 @@
             "/control/ready" if self.ready() => Answer::new(200, "ready\n"),
             "/control/ready" => Answer::new(503, "takes no clients\n"),
             "/control/counters" => Answer::new(200, self.figures()),
+            "/control/fleet" => match self.fleet.borrow().as_ref() {
+                Some(fleet) => Answer::json(fleet.status()),
+                None => Answer::new(
+                    404,
+                    "this gatekeeper is in no fleet: its operators' file has no fleet section\n",
+                ),
+            },
             "/control/out-of-service" => self.send_away(true),
             _ if self.stopping.get() => Answer::new(409, "the program ends\n"),
             _ => self.send_away(false),
@@ -122,6 +183,14 @@
         fn figures(&self) -> Figures {
             Figures { in_flight: 2, ..Figures::default() }
         }
+
+        fn succeeded(&self) -> bool {
+            false
+        }
+
+        fn listed(&self) -> Option<Micros> {
+            None
+        }
     }
 
     #[rstest]
--- a/src/operate/service.rs
+++ b/src/operate/service.rs
@@ -48,6 +48,11 @@
         self.succeeded = is;
     }
 
+    /// Another process takes clients at the same address.
+    pub fn succeeded_by(&self) -> bool {
+        self.succeeded
+    }
+
     /// This process gives way to another: it listens no more, and hands over what stands.
     pub fn gives_way(&self) -> bool {
         self.succeeded && self.stopping.is_some()
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,6 +5,7 @@
 
 mod decode;
 pub mod finding;
+pub mod units;
 
 use std::path::Path as FilePath;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -128,7 +128,7 @@
 
     fn take_list(&mut self, told: Micros, scope: ListScope, list: Vec<Listed>) {
         let now = clock::now();
-        self.host.listed = true;
+        self.host.listed = Some(now);
         let (entries, changes) = self.directory.learn(scope, list);
         self.feed(Input::List { told, scope, entries });
         for server in &changes.closed {
--- a/src/sections.rs
+++ b/src/sections.rs
@@ -6,6 +6,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use crate::fleet::settings::{self, Part};
 use crate::limits::{self, Ceilings, Plan};
 use crate::log;
 use crate::ops::{self, Report};
@@ -18,6 +19,8 @@
     pub log: Option<log::Section>,
     /// What a route and a class allow.
     pub limits: Option<limits::file::Section>,
+    /// How this gatekeeper takes part in a fleet; without it it takes part in none.
+    pub fleet: Option<settings::Section>,
 }
 
 /// A file that was accepted.
@@ -27,24 +30,31 @@
     pub log: log::Settings,
     /// What routes and classes allow.
     pub plan: Plan,
+    /// How it takes part in a fleet.
+    pub fleet: Part,
+    /// Digest of the file, for the fleet: members whose files differ are told apart.
+    pub digest: u64,
     /// Warnings, if there are any.
     pub report: Report,
 }
 
-/// Reads a file. `ceilings` are the platform's, where its configuration is known.
-pub fn read(path: &FilePath, ceilings: &Ceilings) -> Result<Ops, Report> {
-    read_text(&path.display().to_string(), &ops::load(path)?, ceilings)
+/// Reads a file. `ceilings` are the platform's, where its configuration is known; `node` is the fleet's member that is
+/// started with it, where the command line names one.
+pub fn read(path: &FilePath, ceilings: &Ceilings, node: Option<&str>) -> Result<Ops, Report> {
+    read_text(&path.display().to_string(), &ops::load(path)?, ceilings, node)
 }
 
 /// Reads a text that came under this name.
-pub fn read_text(name: &str, text: &str, ceilings: &Ceilings) -> Result<Ops, Report> {
+pub fn read_text(name: &str, text: &str, ceilings: &Ceilings, node: Option<&str>) -> Result<Ops, Report> {
     let mut log = log::Draft::default();
     let mut limits = limits::Draft::new(ceilings);
-    let report = ops::read(name, text, &mut [&mut log, &mut limits]);
+    let mut fleet = settings::Draft::new(node);
+    let report = ops::read(name, text, &mut [&mut log, &mut limits, &mut fleet]);
     if report.refused {
         return Err(report);
     }
-    Ok(Ops { log: log.settings(), plan: limits.plan(), report })
+    let digest = cobaltspool_fleet::wire::digest(text.as_bytes());
+    Ok(Ops { log: log.settings(), plan: limits.plan(), fleet: fleet.part(), digest, report })
 }
 
 /// A JSON Schema of the file, for editors.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,509 @@
+//! Stories of a fleet: several real gatekeepers between links that are broken, and calls all the while. Each ends with
+//! invariant 1 checked over all that was seen: the same list everywhere, the true one, within the settling bound.
+
+mod peers;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cobaltspool_fleet_rig::history::Seen;
+use cobaltspool_fleet_rig::link::Fault;
+use cobaltspool_fleet_rig::{Plan, Rig};
+use peers::sip::Agent;
+use peers::*;
+use serde_json::{Value, json};
+
+/// Quick, and still with room for a busy machine: a suspect has four periods at least.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// A fleet of gatekeepers with both fronts, and a setup server on each that answers by itself.
+struct Site {
+    rig: Rig,
+    _resolvers: [Resolver; 2],
+}
+
+fn plan(members: usize, linked: bool, [platform, sip]: &[Resolver; 2]) -> Plan {
+    let config = Program::platform_config(platform, settings()).to_string();
+    let mut on_sip = Program::sip_config(sip, "_sip._udp.pool.lan", 9000);
+    on_sip.as_object_mut().unwrap().remove("ops"); // the one door is the command line's
+    let on_sip = on_sip.to_string();
+    Plan {
+        program: env!("CARGO_BIN_EXE_cobaltspool").into(),
+        members,
+        period: PERIOD,
+        linked,
+        seeds: |n| vec![0, n.saturating_sub(1)],
+        files: Box::new(move |_| {
+            vec![("--config".to_string(), config.clone()), ("--sip".to_string(), on_sip.clone())]
+        }),
+        seed: 11,
+    }
+}
+
+/// A setup server that takes every connection and answers every set-up.
+fn server() -> SocketAddr {
+    let (listener, at) = listen();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            Lines::on(stream).answers_by_itself();
+        }
+    });
+    at
+}
+
+/// The same on SIP.
+fn sip_server() -> SocketAddr {
+    let mut agent = Agent::udp(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let at = agent.own;
+    thread::spawn(move || {
+        // The story's end ends it: nothing comes any more.
+        while let Some(got) = agent.next(PATIENCE * 3) {
+            if ["INVITE", "BYE", "OPTIONS", "CANCEL"].iter().any(|method| got.is(method)) {
+                agent.answer(&got, "200 OK", "far", "");
+            }
+            agent.got.clear();
+        }
+    });
+    at
+}
+
+fn site(members: usize, linked: bool) -> Site {
+    let resolvers =
+        [Resolver::new(vec![line("s-1", server(), 0)]), Resolver::new(vec![line("t-1", sip_server(), 0)])];
+    let mut rig = Rig::start(plan(members, linked, &resolvers));
+    rig.settles("all start");
+    Site { rig, _resolvers: resolvers }
+}
+
+impl Site {
+    /// Invariant 1 over all that was seen.
+    fn checked(self) {
+        let running: Vec<String> =
+            self.rig.members.iter().filter(|m| m.runs()).map(|m| m.id.clone()).collect();
+        assert!(self.rig.history.looks() > 0);
+        let late = self.rig.history.held_down(&running, self.rig.bound() + Duration::from_secs(10));
+        assert!(late.is_empty(), "held down for longer than the bound: {late:?}");
+    }
+}
+
+fn set(members: impl IntoIterator<Item = usize>) -> BTreeSet<usize> {
+    members.into_iter().collect()
+}
+
+/// Calls at 50 a second over the given gatekeepers, in turn on both fronts, each released at once; what came of them.
+struct Calls {
+    stop: Arc<AtomicBool>,
+    sent: Arc<AtomicU64>,
+    took: Arc<Mutex<Vec<Duration>>>,
+    callers: Vec<thread::JoinHandle<()>>,
+}
+
+impl Calls {
+    fn at(gates: &[[SocketAddr; 2]]) -> Calls {
+        let mut calls =
+            Calls { stop: Arc::default(), sent: Arc::default(), took: Arc::default(), callers: vec![] };
+        let every = Duration::from_millis(20) * gates.len() as u32 * 2;
+        for (n, [platform, sip]) in gates.iter().enumerate() {
+            let mut lines = Lines::connect(*platform);
+            // One final answer a call, in time: anything else ends the story.
+            calls.caller(every, move |call| {
+                let tag = format!("{:016x}", (n as u64 + 1) << 32 | call);
+                lines.start(&tag, 9000, 0);
+                assert_eq!(lines.expect("STARTED")["tag"], tag);
+                let took = Instant::now();
+                lines.finish(&json!(tag), 16, json!({}));
+                lines.expect("FINISHED");
+                took
+            });
+            let mut agent = Agent::udp(*sip);
+            calls.caller(every, move |call| {
+                let name = format!("call-{n}-{call}");
+                agent.invite(&name);
+                let ok = agent.expect("SIP/2.0 200");
+                assert_eq!(ok.get("Call-ID"), name);
+                let took = Instant::now();
+                agent.in_dialog(&ok, "ACK", 1);
+                agent.in_dialog(&ok, "BYE", 2);
+                assert_eq!(agent.expect("SIP/2.0 200").get("CSeq"), "2 BYE");
+                agent.got.clear();
+                took
+            });
+        }
+        calls
+    }
+
+    /// Makes a call every so often; `call` says when its answer came.
+    fn caller(&mut self, every: Duration, mut call: impl FnMut(u64) -> Instant + Send + 'static) {
+        let (stop, sent, took) = (self.stop.clone(), self.sent.clone(), self.took.clone());
+        self.callers.push(thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let start = Instant::now();
+                let answered = call(sent.fetch_add(1, Ordering::Relaxed));
+                took.lock().unwrap().push(answered - start);
+                thread::sleep(every.saturating_sub(start.elapsed()));
+            }
+        }));
+    }
+
+    /// Every call was answered, once and in time.
+    fn all_answered(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.join().expect("a caller's call was not answered as it ought to be");
+        }
+        let mut took = std::mem::take(&mut *self.took.lock().unwrap());
+        took.sort();
+        assert!(
+            took.len() as u64 == self.sent.load(Ordering::Relaxed) && took.len() > 20,
+            "{} calls",
+            took.len()
+        );
+        assert!(took[took.len() - 1] < Duration::from_secs(9), "{:?}", took[took.len() - 1]);
+    }
+}
+
+/// Where these take calls, on each front.
+fn gates(rig: &Rig, members: impl IntoIterator<Item = usize>) -> Vec<[SocketAddr; 2]> {
+    let of = |n: usize| [" serves name=", " serves SIP"].map(|words| rig.members[n].front(words));
+    members.into_iter().map(of).collect()
+}
+
+/// Every one of these holds the member so.
+fn hold(rig: &Rig, seen: &[Option<Seen>], id: &str, state: &str) -> Result<(), String> {
+    let wrong = rig.members.iter().zip(seen).find(|(member, seen)| {
+        member.runs() && member.id != id && seen.as_ref().is_none_or(|s| s.state(id) != state)
+    });
+    wrong.map_or(Ok(()), |(member, seen)| {
+        Err(format!("{} holds {id} {:?}", member.id, seen.as_ref().map(|s| s.state(id))))
+    })
+}
+
+/// Killed, it is down everywhere; started again, with nothing kept of its first life, it is the same member and a newer start.
+#[test]
+fn a_killed_member_is_down_and_its_next_start_is_alive() {
+    let mut site = site(5, true);
+    let calls = Calls::at(&gates(&site.rig, [0, 1, 2, 4]));
+    site.rig.kill(3);
+    let bound = site.rig.bound() + Duration::from_secs(10);
+    site.rig.until("n3 is down", bound, |rig, seen| hold(rig, seen, "n3", "down"));
+    site.rig.run(3);
+    site.rig.settles("n3 is back");
+    for seen in site.rig.look().into_iter().flatten() {
+        assert_eq!(seen.member("n3")["incarnation"], 2, "above that of its first start");
+    }
+    calls.all_answered();
+    site.checked();
+}
+
+/// Stopped for longer than the bound, it is buried by the others, buries nobody when it goes on, and is back.
+#[test]
+fn a_stopped_member_doubts_itself_first() {
+    let mut site = site(5, true);
+    let calls = Calls::at(&gates(&site.rig, [0, 1]));
+    for n in [3, 4] {
+        site.rig.pause(n, true);
+    }
+    let bound = site.rig.bound() + Duration::from_secs(10);
+    site.rig.until("both are down", bound, |rig, seen| {
+        hold(rig, seen, "n3", "down")?;
+        hold(rig, seen, "n4", "down")
+    });
+    for n in [3, 4] {
+        site.rig.pause(n, false);
+    }
+    site.rig.settles("both are back");
+    for n in [3, 4] {
+        let lines = site.rig.members[n].lines();
+        assert!(lines.iter().any(|l| l.contains("missed time")), "{lines:#?}");
+        let own = format!("by=n{n}");
+        assert!(
+            !lines.iter().any(|l| l.contains("down") && l.contains(&own)),
+            "it buried somebody: {lines:#?}"
+        );
+    }
+    calls.all_answered();
+    site.checked();
+}
+
+#[test]
+fn thirty_starts_in_a_row_leave_one_member() {
+    let mut site = site(5, true);
+    for _ in 0..30 {
+        site.rig.kill(2);
+        site.rig.run(2);
+    }
+    site.rig.settles("the last start is the member");
+    site.checked();
+}
+
+/// Cut in two, each half buries the other; healed while one is started anew, all are one fleet again.
+#[test]
+fn two_halves_that_buried_each_other_join_again() {
+    let mut site = site(6, true);
+    let calls = Calls::at(&gates(&site.rig, 0..4));
+    let half = set([0, 1, 2]);
+    site.rig.links.cut(&half, &site.rig.links.rest(&half), true);
+    site.rig.history.disturb();
+    let bound = site.rig.bound() + Duration::from_secs(10);
+    site.rig.until("each half is alone", bound, |rig, seen| {
+        for (n, seen) in seen.iter().enumerate() {
+            let wanted: BTreeSet<String> =
+                rig.members[n / 3 * 3..n / 3 * 3 + 3].iter().map(|m| m.id.clone()).collect();
+            let live =
+                seen.as_ref().map(|s| s.live().into_iter().map(str::to_string).collect::<BTreeSet<_>>());
+            if live.as_ref() != Some(&wanted) {
+                return Err(format!("n{n} holds {live:?}"));
+            }
+        }
+        Ok(())
+    });
+    site.rig.kill(5);
+    site.rig.links.heal();
+    site.rig.run(5);
+    site.rig.settles("the halves join");
+    calls.all_answered();
+    site.checked();
+}
+
+/// One that is heard by nobody and hears all; then the other way about; then each hears its neighbours only.
+#[test]
+fn cuts_one_way_and_in_a_ring_settle_once_they_heal() {
+    let mut site = site(5, true);
+    let one = set([2]);
+    for (from, to) in [(one.clone(), site.rig.links.rest(&one)), (site.rig.links.rest(&one), one)] {
+        site.rig.links.cut(&from, &to, false);
+        site.rig.history.disturb();
+        let bound = site.rig.bound() + Duration::from_secs(10);
+        site.rig.until("it is found out", bound, |rig, seen| hold(rig, seen, "n2", "down"));
+        site.rig.links.heal();
+        site.rig.history.disturb();
+        site.rig.settles("it heals");
+    }
+    for a in 0..5 {
+        let far = set((0..5).filter(|b| ![a, (a + 1) % 5, (a + 4) % 5].contains(b)));
+        site.rig.links.cut(&set([a]), &far, false);
+    }
+    let time = site.rig.bound();
+    site.rig.go_on(time);
+    site.rig.links.heal();
+    site.rig.history.disturb();
+    site.rig.settles("the ring closes");
+    site.checked();
+}
+
+/// A and B, B and C, not A and C: no death is told, for as long as it lasts.
+#[test]
+fn who_is_reached_by_way_of_another_is_not_dead() {
+    let mut site = site(3, true);
+    site.rig.links.cut(&set([0]), &set([2]), true);
+    let time = site.rig.bound() * 2;
+    site.rig.go_on(time);
+    assert_eq!((site.rig.history.deaths("n0"), site.rig.history.deaths("n2")), (0, 0));
+    site.checked();
+}
+
+/// A fifth of the datagrams lost, up to 200 ms of delay, some twice and out of order: no death is told.
+#[test]
+fn no_death_is_told_under_loss_and_delay() {
+    let mut site = site(5, true);
+    let calls = Calls::at(&gates(&site.rig, 0..5));
+    // The period is a quarter of what it is in service, so the delay is too.
+    let delay = Duration::from_millis(25);
+    site.rig.links.set_all(Fault { loss: 0.2, doubled: 0.1, delay, ..Fault::default() });
+    let time = site.rig.bound() * 3;
+    site.rig.go_on(time);
+    for n in 0..5 {
+        assert_eq!(site.rig.history.deaths(&format!("n{n}")), 0, "n{n}");
+    }
+    site.rig.links.heal();
+    site.rig.settles("all the same");
+    calls.all_answered();
+    site.checked();
+}
+
+/// Streams that are taken and pass nothing, then a byte at a time, hold up neither calls nor the door, and what they were to
+/// bring comes otherwise or later.
+#[test]
+fn stalled_and_dripping_streams_hold_nothing_up() {
+    let mut site = site(5, true);
+    let calls = Calls::at(&gates(&site.rig, 0..4));
+    for fault in [Fault { stalled: true, ..Fault::default() }, Fault { dripping: true, ..Fault::default() }] {
+        site.rig.links.set_all(fault);
+        site.rig.kill(4);
+        let bound = site.rig.bound() + Duration::from_secs(10);
+        site.rig.until("n4 is down", bound, |rig, seen| hold(rig, seen, "n4", "down"));
+        site.rig.run(4);
+        site.rig.settles("n4 is back by datagrams alone");
+        let asked = Instant::now();
+        assert_eq!(site.rig.members[0].ask("GET", "/control/ready").map(|a| a.0), Some(200));
+        assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    }
+    calls.all_answered();
+    site.checked();
+}
+
+/// A planned stop is a leave and no death; killed on its way out, it is a death and no leave. What staff order is seen everywhere.
+#[test]
+fn a_leave_is_no_death_and_a_death_on_the_way_out_is_no_leave() {
+    let mut site = site(5, true);
+    assert_eq!(site.rig.members[1].ask("PUT", "/control/out-of-service").map(|a| a.0), Some(200));
+    let drains = |_: &Rig, seen: &[Option<Seen>]| {
+        let all = seen
+            .iter()
+            .flatten()
+            .all(|s| s.member("n1")["draining"] == true && s.member("n1")["ready"] == false);
+        if all { Ok(()) } else { Err("not everybody knows that n1 drains".to_string()) }
+    };
+    site.rig.until("a drain is seen everywhere", Duration::from_secs(20), drains);
+    assert_eq!(site.rig.members[1].ask("PUT", "/control/in-service").map(|a| a.0), Some(200));
+    site.rig.terminate(4);
+    let bound = site.rig.bound() + Duration::from_secs(10);
+    site.rig.until("n4 has left", bound, |rig, seen| hold(rig, seen, "n4", "left"));
+    assert_eq!(site.rig.history.deaths("n4"), 0);
+    // A call that stands holds n3's end up, and it is killed before it has left.
+    let mut caller = Lines::connect(gates(&site.rig, [3])[0][0]);
+    caller.start("00000000000000aa", 9000, 0);
+    caller.expect("STARTED");
+    site.rig.members[3].told_to_end();
+    let leaves = |_: &Rig, seen: &[Option<Seen>]| {
+        let known =
+            seen.iter().flatten().any(|s| s.object["id"] != "n3" && s.member("n3")["leaving"] == true);
+        if known { Ok(()) } else { Err("nobody knows that n3 leaves".to_string()) }
+    };
+    site.rig.until("n3 is on its way out", Duration::from_secs(20), leaves);
+    site.rig.kill(3);
+    site.rig.until("n3 is down", bound, |rig, seen| hold(rig, seen, "n3", "down"));
+    site.checked();
+}
+
+/// Two processes under one id: both say so, the older start falls silent, and speaks again once the newer has gone. The same where
+/// the older was stopped while the newer came.
+#[test]
+fn of_two_under_one_id_the_older_start_yields() {
+    let mut site = site(4, false);
+    for stopped in [false, true] {
+        if stopped {
+            site.rig.pause(2, true);
+        }
+        let twin = site.rig.twin(2, 1);
+        if stopped {
+            let time = site.rig.bound();
+            site.rig.go_on(time);
+            site.rig.pause(2, false);
+        }
+        site.rig.settles("one of the two speaks");
+        let seen = site.rig.look();
+        let of = |n: usize| seen[n].as_ref().unwrap();
+        assert!(of(2).stands_by && !of(twin).stands_by, "the newer start is the member");
+        assert!(of(2).object["twin"]["address"] == site.rig.members[twin].address().to_string());
+        site.rig.members[2].wait_for("another process runs under this id");
+        if !stopped {
+            site.rig.members[twin].wait_for("another process runs under this id");
+        }
+        site.rig.kill(twin);
+        let bound = site.rig.bound() * 2 + Duration::from_secs(10);
+        site.rig.until("the older speaks again", bound, |rig, seen| {
+            cobaltspool_fleet_rig::history::agree(&rig.members, seen)
+        });
+    }
+    site.checked();
+}
+
+/// Drawn faults, one upon another, then none: it settles. The seed is printed where it does not.
+#[test]
+fn drawn_faults_settle_once_they_end() {
+    let mut site = site(6, true);
+    let calls = Calls::at(&gates(&site.rig, [0]));
+    for _ in 0..6 {
+        let n = 1 + site.rig.draw(5);
+        site.rig.history.disturb();
+        match site.rig.draw(6) {
+            0 => site.rig.kill(n),
+            1 => site.rig.run(n),
+            2 if site.rig.members[n].runs() => {
+                site.rig.pause(n, true);
+                let time = PERIOD * (site.rig.draw(20) as u32);
+                site.rig.go_on(time);
+                site.rig.pause(n, false);
+            }
+            3 => {
+                let some = set((0..n).map(|m| (m + n) % 6));
+                site.rig.links.cut(&some, &site.rig.links.rest(&some), true);
+            }
+            4 => site.rig.links.cut(&set([n]), &site.rig.links.rest(&set([n])), false),
+            _ => site.rig.links.set_all(Fault {
+                loss: 0.1,
+                delay: Duration::from_millis(20),
+                ..Fault::default()
+            }),
+        }
+        let time = PERIOD * (site.rig.draw(16) as u32);
+        site.rig.go_on(time);
+    }
+    site.rig.links.heal();
+    site.rig.history.disturb();
+    site.rig.settles("all is well again");
+    calls.all_answered();
+    site.checked();
+}
+
+/// Thirty processes; nine die at once, and are started again.
+#[test]
+fn thirty_members_of_which_nine_die_at_once() {
+    let mut site = site(30, false);
+    for n in 10..19 {
+        site.rig.kill(n);
+    }
+    site.rig.settles("the others know it");
+    for n in 10..19 {
+        site.rig.run(n);
+    }
+    site.rig.settles("they are back");
+    site.checked();
+}
+
+/// A gatekeeper without a fleet section says so, and the command line says who cannot be asked.
+#[test]
+fn without_a_section_there_is_no_fleet() {
+    let (_program, _, door) = Program::with_door(&Resolver::new(vec![]));
+    assert_eq!(ask(door, "GET", "/control/fleet").0, 404);
+    let run = |args: &[&str]| {
+        let done = std::process::Command::new(env!("CARGO_BIN_EXE_cobaltspool")).args(args).output().unwrap();
+        (done.status.code(), String::from_utf8_lossy(&done.stderr).into_owned())
+    };
+    let (status, said) = run(&["fleet", "status", "--door", &door.to_string()]);
+    assert_eq!(status, Some(1), "{said}");
+    assert!(said.contains("no fleet section"), "{said}");
+    let nobody = listen().1;
+    assert_eq!(run(&["fleet", "members", "--door", &nobody.to_string()]).0, Some(69));
+}
+
+/// The command line prints what the door answers.
+#[test]
+fn the_command_line_shows_the_members() {
+    let site = site(3, false);
+    let run = |args: &[&str]| {
+        let door = site.rig.members[0].door().to_string();
+        let args = args.iter().copied().chain(["--door", &door]);
+        let done = std::process::Command::new(env!("CARGO_BIN_EXE_cobaltspool"))
+            .arg("fleet")
+            .args(args)
+            .output()
+            .unwrap();
+        assert!(done.status.success());
+        String::from_utf8(done.stdout).unwrap()
+    };
+    let object: Value = serde_json::from_str(&run(&["status", "--format", "json"])).unwrap();
+    assert_eq!(
+        (&object["id"], &object["majority"], &object["owners"]),
+        (&json!("n0"), &Value::Null, &json!([]))
+    );
+    let members: Value = serde_json::from_str(&run(&["members", "--format", "json"])).unwrap();
+    assert_eq!(members.as_array().map(Vec::len), Some(3));
+    assert!(run(&["status"]).starts_with("n0: 3 of 3 members live, settled\n"));
+    assert!(run(&["members"]).lines().nth(2).is_some_and(|l| l.starts_with("n1") && l.contains("split")));
+}
--- a/tests/limits_properties.rs
+++ b/tests/limits_properties.rs
@@ -290,7 +290,7 @@
         steps in prop::collection::vec(step(), 1..40),
     ) {
         let text = json!({"limits": limits}).to_string();
-        let plan = match sections::read_text("drawn", &text, &ceilings()) {
+        let plan = match sections::read_text("drawn", &text, &ceilings(), None) {
             Ok(ops) => ops.plan,
             Err(report) => {
                 for finding in report.findings.iter().filter(|f| f.weight == Weight::Error) {
--- a/tests/ops_files.rs
+++ b/tests/ops_files.rs
@@ -41,7 +41,7 @@
 fn a_bad_file_is_refused_with_its_line_and_cause(#[files("tests/limits/bad/*.json5")] path: PathBuf) {
     let text = std::fs::read_to_string(&path).unwrap();
     let told = told(&text);
-    let report = sections::read(&path, &ceilings(&told)).expect_err("it is refused");
+    let report = sections::read(&path, &ceilings(&told), None).expect_err("it is refused");
     let rule = told["rule"];
     let fits = |f: &&ops::finding::Located| {
         f.weight == Weight::Error && f.rule == rule && f.text.contains(told.get("says").unwrap_or(&""))
@@ -63,7 +63,8 @@
 fn a_good_file_is_accepted(#[files("tests/limits/good/*.json5")] path: PathBuf) {
     let text = std::fs::read_to_string(&path).unwrap();
     let told = told(&text);
-    let ops = sections::read(&path, &ceilings(&told)).unwrap_or_else(|report| panic!("{}", report.render()));
+    let ops =
+        sections::read(&path, &ceilings(&told), None).unwrap_or_else(|report| panic!("{}", report.render()));
     let warnings: Vec<&str> = ops.report.findings.iter().map(|f| f.rule).collect();
     let wanted: Vec<&str> = told.get("warns").copied().into_iter().collect();
     assert_eq!(warnings, wanted, "{:#?}", ops.report.findings);
@@ -72,7 +73,7 @@
 #[test]
 fn all_findings_come_in_one_go() {
     let text = "{log: {level: \"loud\"},\n limits: {default: {attempts: 9, time_out: 5},\n classes: {voice: {nope: 1}}, x: 1},\n y: 2}";
-    let report = sections::read_text("many", text, &Ceilings::default()).unwrap_err();
+    let report = sections::read_text("many", text, &Ceilings::default(), None).unwrap_err();
     let lines: Vec<usize> = report.findings.iter().map(|f| f.places[0].line).collect();
     assert_eq!(lines, [1, 2, 3, 3, 4], "{:#?}", report.findings);
 }
@@ -88,7 +89,7 @@
     let path =
         std::env::temp_dir().join(format!("cobaltspool-ops-{}-{rule}-{}", std::process::id(), bytes.len()));
     std::fs::write(&path, bytes).unwrap();
-    let report = sections::read(&path, &Ceilings::default()).map(|_| ()).unwrap_err();
+    let report = sections::read(&path, &Ceilings::default(), None).map(|_| ()).unwrap_err();
     std::fs::remove_file(&path).unwrap();
     assert_eq!(report.findings.len(), 1, "{:#?}", report.findings);
     assert_eq!(report.findings[0].rule, rule);
@@ -97,16 +98,17 @@
 
 #[test]
 fn a_missing_file_is_said_to_be_missing() {
-    let report =
-        sections::read(&PathBuf::from("/nowhere/ops.json5"), &Ceilings::default()).map(|_| ()).unwrap_err();
+    let report = sections::read(&PathBuf::from("/nowhere/ops.json5"), &Ceilings::default(), None)
+        .map(|_| ())
+        .unwrap_err();
     assert!(report.render().contains("cannot be read"), "{}", report.render());
 }
 
 #[test]
 fn the_example_passes_and_the_schema_knows_its_sections() {
     let path = PathBuf::from("deploy/cobaltspool.json5");
-    let ops =
-        sections::read(&path, &Ceilings::default()).unwrap_or_else(|report| panic!("{}", report.render()));
+    let ops = sections::read(&path, &Ceilings::default(), None)
+        .unwrap_or_else(|report| panic!("{}", report.render()));
     assert_eq!(ops.report.findings.len(), 0);
     let schema: serde_json::Value = serde_json::from_str(&sections::schema()).unwrap();
     assert!(schema["properties"]["limits"].is_object() && schema["properties"]["log"].is_object());
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -171,7 +171,7 @@
         (program, platform[0], sip[0])
     }
 
-    fn platform_config(resolver: &Resolver, settings: Value) -> Value {
+    pub fn platform_config(resolver: &Resolver, settings: Value) -> Value {
         let (seq, list) = resolver.known();
         json!({
             "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
@@ -189,7 +189,7 @@
         (program, addresses[0], addresses[1])
     }
 
-    fn sip_config(resolver: &Resolver, service: &str, wait_ms: u64) -> Value {
+    pub fn sip_config(resolver: &Resolver, service: &str, wait_ms: u64) -> Value {
         let mut settings = settings();
         settings.as_object_mut().unwrap().remove("unheard-of"); // ours to refuse, unlike the platform's
         json!({
@@ -556,7 +556,7 @@
         Some(Lines::on(stream))
     }
 
-    fn on(stream: TcpStream) -> Lines {
+    pub fn on(stream: TcpStream) -> Lines {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream.set_nodelay(true).unwrap();
         Lines { input: BufReader::new(stream.try_clone().unwrap()), stream }
