--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -31,6 +31,8 @@
     pub period: Duration,
     /// For how long the dead are remembered.
     pub memory: Duration,
+    /// A second process of a member finds the first, as at an upgrade.
+    pub upgrades: bool,
     /// Without a fleet section: what a measurement compares with.
     pub without: bool,
     /// Members reach each other by links that can be broken; else straight, so that one more process may have an id.
@@ -69,7 +71,7 @@
         let rng = Pcg64Mcg::seed_from_u64(plan.seed);
         let mut rig = Rig { plan, folder, members: Vec::new(), links, history: History::default(), rng };
         for n in 0..rig.plan.members {
-            let process = Process::new(&format!("n{n}"));
+            let process = Process { meets: rig.plan.upgrades, ..Process::new(&format!("n{n}")) };
             rig.members.push(process);
             rig.run(n);
         }
@@ -94,7 +96,12 @@
 
     /// Starts a member, or starts it anew.
     pub fn run(&mut self, n: usize) {
-        let mut files = (self.plan.files)(n);
+        self.run_as(n, n);
+    }
+
+    /// Starts a process with the files of another.
+    fn run_as(&mut self, n: usize, of: usize) {
+        let mut files = (self.plan.files)(of);
         let fleet = self.section(n);
         if !self.plan.without {
             files.push(("--ops".to_string(), json!({ "fleet": fleet }).to_string()));
@@ -113,16 +120,30 @@
         }
     }
 
+    /// One more process of a member, as at an upgrade: with the same files and the same address.
+    pub fn beside(&mut self, of: usize) -> usize {
+        assert!(!self.plan.linked, "links lead to one process an id");
+        let (id, at, n) = (self.members[of].id.clone(), self.members[of].address(), self.members.len());
+        self.members.push(Process { at: Some(at), meets: true, ..Process::new(&id) });
+        self.run_as(n, of);
+        n
+    }
+
+    /// A member that nobody knows, and that asks these first.
+    pub fn newcomer(&mut self, id: &str, seeds: Vec<SocketAddr>) -> usize {
+        assert!(!self.plan.linked, "there is no link to it");
+        let n = self.members.len();
+        self.members.push(Process { seeds: Some(seeds), ..Process::new(id) });
+        self.run(n);
+        n
+    }
+
     /// One more process under the id of another, that asks a third first. Not for linked fleets: their links lead to one
     /// process an id.
     pub fn twin(&mut self, of: usize, seed: usize) -> usize {
         assert!(!self.plan.linked, "links lead to one process an id");
         let id = self.members[of].id.clone();
-        let n = self.members.len();
-        self.members.push(Process::new(&id));
-        self.members[n].seeds = Some(vec![self.members[seed].address()]);
-        self.run(n);
-        n
+        self.newcomer(&id, vec![self.members[seed].address()])
     }
 
     fn section(&self, n: usize) -> Value {
@@ -142,7 +163,7 @@
             .map(|m| (format!("n{m}"), json!(self.links.way(n, m).to_string())))
             .collect();
         json!({
-            "id": process.id, "address": "127.0.0.1:0", "zone": if n.is_multiple_of(2) { "zagreb" } else { "split" },
+            "id": process.id, "address": process.at.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))).to_string(), "zone": if n.is_multiple_of(2) { "zagreb" } else { "split" },
             "seeds": seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>(), "via": via,
             "key_file": self.folder.join("fleet.key"),
             "period": format!("{}ms", self.plan.period.as_millis()),
--- a/crates/fleet-rig/src/process.rs
+++ b/crates/fleet-rig/src/process.rs
@@ -20,14 +20,26 @@
     pub id: String,
     /// Whom it asks first, where that is not the plan's.
     pub seeds: Option<Vec<SocketAddr>>,
-    child: Option<Child>,
-    paused: bool,
-    log: Arc<Mutex<Vec<String>>>,
+    /// Where it is to be reached, where that is not a free port.
+    pub at: Option<SocketAddr>,
+    /// Processes of one folder find each other at an upgrade.
+    pub meets: bool,
+    pub(crate) child: Option<Child>,
+    pub(crate) paused: bool,
+    pub(crate) log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
     pub(crate) fn new(id: &str) -> Process {
-        Process { id: id.to_string(), seeds: None, child: None, paused: false, log: Arc::default() }
+        Process {
+            id: id.to_string(),
+            seeds: None,
+            at: None,
+            meets: false,
+            child: None,
+            paused: false,
+            log: Arc::default(),
+        }
     }
 
     pub(crate) fn start(&mut self, program: &Path, args: &[String], folder: &Path, takes_part: bool) {
@@ -37,8 +49,8 @@
             .args(args)
             .env_remove("LB_CONFIG")
             .env_remove("LB_OPS")
-            // No hand-over between a process and the next under its id.
-            .env("TMPDIR", folder.join("none"))
+            // No hand-over between a process and the next under its id, unless the story is of an upgrade.
+            .env("TMPDIR", if self.meets { folder.to_path_buf() } else { folder.join("none") })
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -40,6 +40,7 @@
         period: PERIOD,
         memory: Duration::from_secs(3600),
         linked,
+        upgrades: false,
         without: false,
         seeds: |n| vec![0, n.saturating_sub(1)],
         files: Box::new(move |_| {
@@ -262,11 +263,18 @@
     site.checked();
 }
 
-/// Cut in two for longer than the dead are remembered; healed while one is started anew, all are one fleet again.
+/// Cut in two for longer than the dead are remembered; healed while one is started anew, all are one fleet again. The halves share no
+/// seed: the one member that had led to the other half is gone by then.
 #[test]
 fn two_halves_that_forgot_each_other_join_again() {
-    let mut site = site_by(6, true, |plan| plan.memory = PERIOD * 8);
-    let calls = Calls::at(&gates(&site.rig, 0..4));
+    let mut site = site_by(6, true, |plan| {
+        plan.memory = PERIOD * 8;
+        plan.seeds = |n| match n {
+            0..=3 => vec![0],
+            _ => vec![3],
+        };
+    });
+    let calls = Calls::at(&gates(&site.rig, [0, 1, 2, 4]));
     let half = set([0, 1, 2]);
     site.rig.links.cut(&half, &site.rig.links.rest(&half), true);
     site.rig.history.disturb();
@@ -287,6 +295,7 @@
         let most = seen.iter().flatten().map(|s| s.members.len()).max();
         if most == Some(3) { Ok(()) } else { Err(format!("{most:?} members are still listed")) }
     });
+    site.rig.kill(3);
     site.rig.kill(5);
     site.rig.links.heal();
     site.rig.run(5);
@@ -321,7 +330,7 @@
     site.checked();
 }
 
-/// A and B, B and C, not A and C: no death is told, for as long as it lasts.
+/// A and B, B and C, not A and C: no death is told, for as long as it lasts, and hardly a suspicion: B asks for the two.
 #[test]
 fn who_is_reached_by_way_of_another_is_not_dead() {
     let mut site = site(3, true);
@@ -329,6 +338,10 @@
     let time = site.rig.bound() * 2;
     site.rig.go_on(time);
     assert_eq!((site.rig.history.deaths("n0"), site.rig.history.deaths("n2")), (0, 0));
+    let suspicions =
+        |n: usize| site.rig.members[n].lines().iter().filter(|l| l.contains("suspect member=")).count();
+    // Some twenty each in so many periods, were it not for B.
+    assert!(suspicions(0) + suspicions(2) < 8, "{} and {}", suspicions(0), suspicions(2));
     site.checked();
 }
 
@@ -439,15 +452,50 @@
     site.checked();
 }
 
-/// The first member is everybody's seed: with it dead, one that is started anew finds the fleet by its other seed.
+/// The two processes of an upgrade are one member: no death, no leave and no twin is told, and the newer start is the member.
+#[test]
+fn the_two_processes_of_an_upgrade_are_one_member() {
+    let (socket, gate) = listen();
+    drop(socket); // a free address, for both processes
+    let mut site = site_by(3, false, |plan| {
+        let files = std::mem::replace(&mut plan.files, Box::new(|_| Vec::new()));
+        plan.upgrades = true;
+        plan.files = Box::new(move |n| {
+            let mut files = files(n);
+            if n == 2 {
+                files[0].1 =
+                    files[0].1.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{gate}\""));
+            }
+            files
+        });
+    });
+    assert_eq!(gates(&site.rig, [2])[0][0], gate);
+    for before in [2, 3] {
+        let newer = site.rig.beside(2);
+        assert_eq!(site.rig.members[newer].address(), site.rig.members[2].address());
+        site.rig.terminate(before);
+        site.rig.settles("the newer process is the member");
+        assert_eq!(site.rig.history.deaths("n2"), 0);
+        for seen in site.rig.look().into_iter().flatten() {
+            assert_eq!(seen.member("n2")["incarnation"], newer as u64 - 1);
+        }
+        for member in &site.rig.members {
+            assert!(!member.lines().iter().any(|l| l.contains("another process runs under this id")));
+        }
+    }
+    site.checked();
+}
+
+/// One that nobody knows, whose first seed is dead and whose second is nobody's address, finds the fleet by its third.
 #[test]
 fn a_dead_seed_keeps_nobody_out() {
-    let mut site = site(5, true);
+    let mut site = site(4, false);
+    let dead = site.rig.members[0].address();
     site.rig.kill(0);
-    site.rig.kill(3);
-    site.rig.settles("both are gone");
-    site.rig.run(3);
-    site.rig.settles("n3 is back without n0");
+    site.rig.settles("the first member is gone");
+    let seeds = vec![dead, listen().1, site.rig.members[2].address()];
+    site.rig.newcomer("n9", seeds);
+    site.rig.settles("n9 is there without n0");
     site.checked();
 }
 
@@ -507,11 +555,26 @@
         let heard = seen.iter().flatten().any(|s| s.member("n1")["incarnation"].as_u64() >= Some(99));
         if heard { Ok(()) } else { Err("not heard".to_string()) }
     });
+    // Those who hold streams and say nothing lose their places in time.
+    let table = Frame { kind: Kind::Table, counter: 2, ..frame };
+    eventually("an exchange is answered", || {
+        (exchange(at, &wire::encode(&table, &Key::of(&site.rig.key()))) > 4).then_some(())
+    });
     drop(held);
     site.rig.go_on(PERIOD * 8);
     calls.all_answered();
 }
 
+/// Sends a frame over a stream; how many bytes come back.
+fn exchange(at: SocketAddr, frame: &[u8]) -> usize {
+    let mut stream = TcpStream::connect(at).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.write_all(&(frame.len() as u32).to_be_bytes());
+    let _ = stream.write_all(frame);
+    let _ = stream.read_to_end(&mut answer);
+    answer.len()
+}
+
 /// 300 members cost a process less than 4 MB.
 #[test]
 fn three_hundred_members_cost_little_memory() {
@@ -532,13 +595,7 @@
             digest: 0,
             records,
         };
-        let bytes = wire::encode(&frame, &key);
-        let mut stream = TcpStream::connect(at).unwrap();
-        stream.write_all(&(bytes.len() as u32).to_be_bytes()).unwrap();
-        stream.write_all(&bytes).unwrap();
-        let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).unwrap();
-        assert!(answer.len() > 4, "it answers with its own table");
+        assert!(exchange(at, &wire::encode(&frame, &key)) > 4, "it answers with its own table");
     }
     site.rig.until("all are known", Duration::from_secs(20), |_, seen| {
         let members = seen[0].as_ref().map(|s| s.members.len());
