Let the number of gatekeepers fall after the bound of the fleet's size, not of its start

Cause: read once more, host.rs follow_fleet took the settling bound once, at the start, where the view knows nobody: 30 periods for any fleet, so that at 300 members the number could have fallen after 30 periods and not 51. The story that the number reaches the fronts was missing, and the history's checker had not been seen to fail.

--- a/crates/fleet/src/fronts.rs
+++ b/crates/fleet/src/fronts.rs
@@ -24,21 +24,20 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Fronts {
     floor: u32,
-    bound: Micros,
     held: u32,
     /// Since when fewer would do.
     fewer: Option<Micros>,
 }
 
 impl Fronts {
-    /// The floor is what the configuration says; the bound is the view's settling bound.
-    pub fn new(floor: u32, bound: Micros) -> Fronts {
+    /// The floor is what the configuration says.
+    pub fn new(floor: u32) -> Fronts {
         let floor = floor.max(1);
-        Fronts { floor, bound, held: floor, fewer: None }
+        Fronts { floor, held: floor, fewer: None }
     }
 
-    /// The number to divide by from now on.
-    pub fn at(&mut self, now: Micros, seen: Seen) -> u32 {
+    /// The number to divide by from now on. The bound is the view's settling bound at its size now.
+    pub fn at(&mut self, now: Micros, bound: Micros, seen: Seen) -> u32 {
         // Down ones may be at work behind a cut. A process that has heard nobody yet cannot tell a small fleet from a cut.
         let whole = seen.unseen == 0 && seen.joined;
         let wanted = if whole { seen.live.max(1) } else { (seen.live + seen.unseen).max(self.floor) };
@@ -46,7 +45,7 @@
             (self.held, self.fewer) = (wanted, None);
         } else if !seen.settled {
             self.fewer = None;
-        } else if now.saturating_sub(*self.fewer.get_or_insert(now)) >= self.bound {
+        } else if now.saturating_sub(*self.fewer.get_or_insert(now)) >= bound {
             (self.held, self.fewer) = (wanted, None);
         }
         self.held
@@ -67,16 +66,16 @@
 
     #[test]
     fn it_rises_at_once_and_falls_only_after_the_bound() {
-        let mut fronts = Fronts::new(4, BOUND);
-        assert_eq!(fronts.at(0, Seen { live: 1, joined: false, ..seen(1, 0) }), 4, "nobody heard yet");
-        assert_eq!(fronts.at(1, seen(6, 0)), 6);
-        assert_eq!(fronts.at(2, seen(3, 0)), 6);
-        assert_eq!(fronts.at(2 + BOUND - 1, seen(3, 0)), 6);
-        assert_eq!(fronts.at(2 + BOUND, seen(3, 0)), 3, "the others left");
-        assert_eq!(fronts.at(99, seen(2, 1)), 4, "one is unseen: the floor");
-        assert_eq!(fronts.at(200, Seen { settled: false, ..seen(2, 0) }), 4);
-        assert_eq!(fronts.at(300, seen(2, 0)), 4, "it counts from when the view has settled");
-        assert_eq!(fronts.at(300 + BOUND, seen(2, 0)), 2);
+        let mut fronts = Fronts::new(4);
+        assert_eq!(fronts.at(0, BOUND, Seen { live: 1, joined: false, ..seen(1, 0) }), 4, "nobody heard yet");
+        assert_eq!(fronts.at(1, BOUND, seen(6, 0)), 6);
+        assert_eq!(fronts.at(2, BOUND, seen(3, 0)), 6);
+        assert_eq!(fronts.at(2 + BOUND - 1, BOUND, seen(3, 0)), 6);
+        assert_eq!(fronts.at(2 + BOUND, BOUND, seen(3, 0)), 3, "the others left");
+        assert_eq!(fronts.at(99, BOUND, seen(2, 1)), 4, "one is unseen: the floor");
+        assert_eq!(fronts.at(200, BOUND, Seen { settled: false, ..seen(2, 0) }), 4);
+        assert_eq!(fronts.at(300, BOUND, seen(2, 0)), 4, "it counts from when the view has settled");
+        assert_eq!(fronts.at(300 + BOUND, BOUND, seen(2, 0)), 2);
     }
 
     proptest! {
@@ -89,7 +88,7 @@
             cuts in proptest::collection::vec((0u32..4096, 1u64..80), 1..12),
             lags in proptest::collection::vec(0u64..BOUND, 12),
         ) {
-            let mut all: Vec<Fronts> = (0..size).map(|_| Fronts::new(size, BOUND)).collect();
+            let mut all: Vec<Fronts> = (0..size).map(|_| Fronts::new(size)).collect();
             let mut plain_worst = 0.0f64;
             let (mut start, mut before) = (0, 0);
             for (cut, length) in cuts {
@@ -100,7 +99,7 @@
                         let side = |cut: u32| (0..size).filter(|m| cut >> m & 1 == cut >> n & 1).count() as u32;
                         let settled = now >= start + lags[n];
                         let live = side(if settled { cut } else { before });
-                        sum += 1.0 / f64::from(fronts.at(now, Seen { settled, ..seen(live, size - live) }));
+                        sum += 1.0 / f64::from(fronts.at(now, BOUND, Seen { settled, ..seen(live, size - live) }));
                         plain += 1.0 / f64::from(live);
                     }
                     prop_assert!(sum <= 1.0 + 1e-9, "{sum} budgets at {now}");
--- a/src/host.rs
+++ b/src/host.rs
@@ -157,15 +157,15 @@
 /// What the fleet's view says from moment to moment; `None`: there is no fleet.
 pub type Fleet = Option<watch::Receiver<(Micros, Seen)>>;
 
-/// Tells the core how many gatekeepers share the servers, for ever. `bound` is how long a fall has to be settled.
+/// Tells the core how many gatekeepers share the servers, for ever. With what is seen comes how long a fall has to be settled:
+/// it grows with the fleet.
 async fn follow_fleet<F: Front>(front: &RefCell<F>, fleet: Fleet) {
     let Some(mut fleet) = fleet else { return std::future::pending().await };
     let configured = front.borrow_mut().host().gateway.configured();
-    let bound = fleet.borrow().0;
-    let (mut fronts, mut held) = (Fronts::new(configured, bound), configured);
+    let (mut fronts, mut held) = (Fronts::new(configured), configured);
     while fleet.changed().await.is_ok() {
-        let (_, seen) = *fleet.borrow_and_update();
-        let now = fronts.at(clock::now(), seen);
+        let (bound, seen) = *fleet.borrow_and_update();
+        let now = fronts.at(clock::now(), bound, seen);
         if now != held {
             tracing::info!(target: "fleet", from = held, to = now, "gatekeepers that share the servers");
             front.borrow_mut().host().gateway.shared_by(now);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -100,7 +100,7 @@
         let running: Vec<String> =
             self.rig.members.iter().filter(|m| m.runs()).map(|m| m.id.clone()).collect();
         assert!(self.rig.history.looks() > 0);
-        let late = self.rig.history.held_down(&running, self.rig.bound() + Duration::from_secs(10));
+        let late = self.rig.history.held_down(&running, self.rig.bound());
         assert!(late.is_empty(), "held down for longer than the bound: {late:?}");
     }
 }
@@ -211,6 +211,8 @@
 fn a_killed_member_is_down_and_its_next_start_is_alive() {
     let mut site = site(5, true);
     let calls = Calls::at(&gates(&site.rig, [0, 1, 2, 4]));
+    // The fronts hear how many share the servers: one by the configuration, five by the view.
+    site.rig.members[0].wait_for("gatekeepers that share the servers from=1 to=5");
     site.rig.kill(3);
     let bound = site.rig.bound() + Duration::from_secs(10);
     site.rig.until("n3 is down", bound, |rig, seen| hold(rig, seen, "n3", "down"));
