A replicated log among 3, 5 or 7 voters, pure, on disks that may lie in its simulation

Need: work on behalf of the fleet has to be agreed on. Not linked into the program yet (shell and owners follow).

--- a/crates/fleet-sim/src/lib.rs
+++ b/crates/fleet-sim/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod crate_swim;
 pub mod measure;
 pub mod others;
+pub mod quorum;
 pub mod schedule;
 pub mod world;
--- a/crates/fleet-sim/src/main.rs
+++ b/crates/fleet-sim/src/main.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use bpaf::Parser;
-use cobaltspool_fleet_sim::{measure, schedule};
+use cobaltspool_fleet::quorum::Rules;
+use cobaltspool_fleet_sim::{measure, quorum, schedule};
 
 enum Task {
     Schedules { from: u64, count: u64, least: usize, most: usize },
+    Quorum { from: u64, count: u64 },
     Detect { sizes: Vec<usize>, plays: u64 },
 }
 
@@ -24,6 +26,12 @@
         .to_options()
         .descr("Plays drawn schedules of faults; status 1 if one does not settle within the bound")
         .command("schedules");
+    let from = bpaf::long("from").help("the first seed").argument("SEED").fallback(0);
+    let count = bpaf::long("count").help("how many schedules").argument("N").fallback(10_000);
+    let quorum = bpaf::construct!(Task::Quorum { from, count })
+        .to_options()
+        .descr("Plays drawn schedules of faults, of disks too, on 3, 5 and 7 voters; status 1 if one breaks")
+        .command("quorum");
     let sizes = bpaf::long("size")
         .help("a fleet's size; may be given several times")
         .argument("N")
@@ -33,12 +41,15 @@
         .to_options()
         .descr("Measures detection, settling, false deaths and traffic, with the plainer detectors beside")
         .command("detect");
-    bpaf::construct!([schedules, detect]).to_options().descr("The fleet's view on simulated time")
+    bpaf::construct!([schedules, quorum, detect])
+        .to_options()
+        .descr("The fleet's view and log on simulated time")
 }
 
 fn main() -> ExitCode {
     match parser().run() {
         Task::Schedules { from, count, least, most } => schedules(from, count, least, most),
+        Task::Quorum { from, count } => quorum(from, count),
         Task::Detect { sizes, plays } => {
             print!("{}", measure::table(&sizes, plays));
             ExitCode::SUCCESS
@@ -46,24 +57,31 @@
     }
 }
 
-/// Spreads the seeds over the machine's cores; each schedule is one thread's alone.
-fn schedules(from: u64, count: u64, least: usize, most: usize) -> ExitCode {
-    let (start, cores) = (Instant::now(), std::thread::available_parallelism().map_or(1, |n| n.get()) as u64);
-    let mut played: Vec<schedule::Outcome> = std::thread::scope(|scope| {
+/// Spreads the seeds over the machine's cores; each schedule is one thread's alone. The outcomes in the seeds' order.
+fn spread<T: Send>(from: u64, count: u64, play: impl Fn(u64) -> T + Sync) -> Vec<(u64, T)> {
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get()) as u64;
+    let play = &play;
+    let mut played: Vec<(u64, T)> = std::thread::scope(|scope| {
         let workers: Vec<_> = (0..cores)
             .map(|core| {
                 let seeds = (from..from + count).filter(move |seed| seed % cores == core);
-                scope.spawn(move || seeds.map(|seed| schedule::play(seed, least, most)).collect::<Vec<_>>())
+                scope.spawn(move || seeds.map(|seed| (seed, play(seed))).collect::<Vec<_>>())
             })
             .collect();
         workers.into_iter().flat_map(|w| w.join().expect("a schedule brought its thread down")).collect()
     });
-    played.sort_by_key(|p| p.seed);
-    let broken: Vec<_> = played.iter().filter(|p| p.settled.is_err()).collect();
-    for outcome in broken.iter().take(5) {
+    played.sort_by_key(|(seed, _)| *seed);
+    played
+}
+
+fn schedules(from: u64, count: u64, least: usize, most: usize) -> ExitCode {
+    let start = Instant::now();
+    let played = spread(from, count, |seed| schedule::play(seed, least, most));
+    let broken: Vec<_> = played.iter().filter(|(_, p)| p.settled.is_err()).collect();
+    for (_, outcome) in broken.iter().take(5) {
         println!("{outcome:#?}");
     }
-    let mut times: Vec<f64> = played.iter().filter_map(|p| p.settled.clone().ok()).collect();
+    let mut times: Vec<f64> = played.iter().filter_map(|(_, p)| p.settled.clone().ok()).collect();
     times.sort_by(f64::total_cmp);
     println!(
         "{} schedules of {least} to {most} members in {:.0} s: {} broken; settled after the last fault in {:.1} periods (median), {:.1} (p99), {:.1} (most)",
@@ -76,3 +94,25 @@
     );
     if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+fn quorum(from: u64, count: u64) -> ExitCode {
+    let start = Instant::now();
+    let played = spread(from, count, |seed| quorum::play(seed, Rules::default()));
+    let broken: Vec<_> = played.iter().filter(|(_, p)| p.settled.is_err()).collect();
+    for (_, outcome) in broken.iter().take(3) {
+        println!("{outcome:#?}");
+    }
+    let mut times: Vec<f64> = played.iter().filter_map(|(_, p)| p.settled.clone().ok()).collect();
+    times.sort_by(f64::total_cmp);
+    println!(
+        "{} schedules of 3, 5 and 7 voters in {:.0} s: {} broken; {} orders committed; settled after the last fault in {:.1} election timeouts (median), {:.1} (p99), {:.1} (most)",
+        played.len(),
+        start.elapsed().as_secs_f64(),
+        broken.len(),
+        played.iter().map(|(_, p)| p.committed).sum::<u64>(),
+        measure::rank(&times, 0.5),
+        measure::rank(&times, 0.99),
+        measure::rank(&times, 1.0),
+    );
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,8 +6,10 @@
 //! - [`view`]: who is there, by whose word, how sure; settles again after joins, crashes and cuts;
 //! - [`fronts`]: how many gatekeepers a cold server's budget is divided by, so that a cut never lets two halves press it.
 
+pub mod disk;
 pub mod fronts;
 pub mod member;
+pub mod quorum;
 pub mod view;
 pub mod wire;
 
