Owners of work items, leases, fences and parcels, pure

Need: work on behalf of the fleet has one owner at a time. Not linked into the program yet. Change: crates/fleet owner (the log's machine with tokens that are log indices, the leader's keeper, the member's holder, the fence with a type without which no effect is carried out), parcel and its seal (wire.rs sealed, opened serve both kinds of frame).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,11 +4,15 @@
 //! - [`member`]: who a member is, what it tells of itself, and which of two words about it is the newer;
 //! - [`wire`]: frames, as bytes and back, with their bounds and their seal;
 //! - [`view`]: who is there, by whose word, how sure; settles again after joins, crashes and cuts;
+//! - [`quorum`]: a small replicated log among 3, 5 or 7 voters; [`disk`]: what a voter keeps, as bytes;
+//! - [`owner`]: work items, one owner each, leases and fencing tokens, on the log; [`parcel`]: what goes over streams for both;
 //! - [`fronts`]: how many gatekeepers a cold server's budget is divided by, so that a cut never lets two halves press it.
 
 pub mod disk;
 pub mod fronts;
 pub mod member;
+pub mod owner;
+pub mod parcel;
 pub mod quorum;
 pub mod view;
 pub mod wire;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::member::{Life, MemberId, NAME_BYTES, News, Record, Stamp, State, UNKNOWN_BYTES};
+use crate::parcel::{PARCEL_BYTES, Parcel};
 
 /// The longest datagram.
 pub const DATAGRAM_BYTES: usize = 1_400;
@@ -21,6 +22,7 @@
 /// Most records of one frame.
 pub const RECORDS_MOST: usize = 1_100;
 const MAGIC: [u8; 2] = *b"cf";
+const PARCEL: [u8; 2] = *b"cp";
 const VERSION: u8 = 1;
 const HEAD: usize = 3 + blake3::OUT_LEN;
 const FIELDS_MOST: usize = 32;
@@ -113,24 +115,47 @@
 /// A frame as it goes out.
 pub fn encode(frame: &Frame, key: &Key) -> Vec<u8> {
     // Nothing of a frame can fail to be written; an empty one would be dropped by whoever reads it.
-    let body = postcard::to_stdvec(&Body::of(frame)).unwrap_or_default();
+    sealed(MAGIC, &postcard::to_stdvec(&Body::of(frame)).unwrap_or_default(), key)
+}
+
+/// Reads a frame of at most so many bytes.
+pub fn decode(bytes: &[u8], most: usize, key: &Key) -> Result<Frame, Drop> {
+    let body: Body = postcard::from_bytes(opened(MAGIC, bytes, most, key)?).map_err(|_| Drop::Cut)?;
+    body.frame().ok_or(Drop::Cut)
+}
+
+/// A parcel as it goes out.
+pub fn encode_parcel(parcel: &Parcel, key: &Key) -> Vec<u8> {
+    sealed(PARCEL, &postcard::to_stdvec(parcel).unwrap_or_default(), key)
+}
+
+/// Reads a parcel.
+pub fn decode_parcel(bytes: &[u8], key: &Key) -> Result<Parcel, Drop> {
+    postcard::from_bytes(opened(PARCEL, bytes, PARCEL_BYTES, key)?).map_err(|_| Drop::Cut)
+}
+
+/// Whether these bytes begin as a parcel does, and not as a frame of the view.
+pub fn is_parcel(bytes: &[u8]) -> bool {
+    bytes.starts_with(&PARCEL)
+}
+
+fn sealed(magic: [u8; 2], body: &[u8], key: &Key) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEAD + body.len());
-    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&magic);
     bytes.push(VERSION);
-    bytes.extend_from_slice(key.seal(&body).as_bytes());
-    bytes.extend_from_slice(&body);
+    bytes.extend_from_slice(key.seal(body).as_bytes());
+    bytes.extend_from_slice(body);
     bytes
 }
 
-/// Reads a frame of at most so many bytes.
-pub fn decode(bytes: &[u8], most: usize, key: &Key) -> Result<Frame, Drop> {
+fn opened<'a>(magic: [u8; 2], bytes: &'a [u8], most: usize, key: &Key) -> Result<&'a [u8], Drop> {
     if bytes.len() > most {
         return Err(Drop::Oversized);
     }
     if bytes.len() < HEAD {
         return Err(Drop::Cut);
     }
-    if bytes[..2] != MAGIC || bytes[2] != VERSION {
+    if bytes[..2] != magic || bytes[2] != VERSION {
         return Err(Drop::Version);
     }
     let (seal, body) = bytes[3..].split_at(blake3::OUT_LEN);
@@ -138,8 +163,7 @@
     if !blake3::Hash::from_slice(seal).is_ok_and(|seal| seal == key.seal(body)) {
         return Err(Drop::Forged);
     }
-    let body: Body = postcard::from_bytes(body).map_err(|_| Drop::Cut)?;
-    body.frame().ok_or(Drop::Cut)
+    Ok(body)
 }
 
 /// Digest of a file that is to be the same for all members.
