Voters, owners and the fleet's log at work in the gatekeeper, with stories that break them

Need: one owner at a time for work on behalf of the fleet, shown by real processes with faults between them. Off without voters.

--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod history;
 pub mod link;
 pub mod process;
+pub mod witness;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -33,6 +34,10 @@
     pub memory: Duration,
     /// A second process of a member finds the first, as at an upgrade.
     pub upgrades: bool,
+    /// The first so many keep the fleet's log.
+    pub voters: usize,
+    /// Further variables of each process.
+    pub env: Vec<(String, String)>,
     /// Without a fleet section: what a measurement compares with.
     pub without: bool,
     /// Members reach each other by links that can be broken; else straight, so that one more process may have an id.
@@ -114,6 +119,7 @@
         }
         self.history.disturb();
         let process = &mut self.members[n];
+        process.env.clone_from(&self.plan.env);
         process.start(&self.plan.program, &args, &self.folder, !self.plan.without);
         if self.plan.linked && !self.plan.without {
             self.links.leads_to(n, process.address());
@@ -162,7 +168,9 @@
             .filter(|m| *m != n)
             .map(|m| (format!("n{m}"), json!(self.links.way(n, m).to_string())))
             .collect();
+        let voters: Vec<String> = (0..self.plan.voters).map(|m| format!("n{m}")).collect();
         json!({
+            "voters": voters, "state": self.state(&process.id),
             "id": process.id, "address": process.at.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))).to_string(), "zone": if n.is_multiple_of(2) { "zagreb" } else { "split" },
             "seeds": seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>(), "via": via,
             "key_file": self.folder.join("fleet.key"),
@@ -171,6 +179,11 @@
         })
     }
 
+    /// A voter's folder.
+    pub fn state(&self, id: &str) -> PathBuf {
+        self.folder.join(format!("state-{id}"))
+    }
+
     /// Ends a member without a word.
     pub fn kill(&mut self, n: usize) {
         self.history.disturb();
--- a/crates/fleet-rig/src/process.rs
+++ b/crates/fleet-rig/src/process.rs
@@ -26,6 +26,7 @@
     pub meets: bool,
     /// Fail points from its start on, as in `wall=return(3600)`; several with semicolons between.
     pub faults: String,
+    pub(crate) env: Vec<(String, String)>,
     pub(crate) child: Option<Child>,
     pub(crate) paused: bool,
     pub(crate) log: Arc<Mutex<Vec<String>>>,
@@ -39,6 +40,7 @@
             at: None,
             meets: false,
             faults: String::new(),
+            env: Vec::new(),
             child: None,
             paused: false,
             log: Arc::default(),
@@ -53,6 +55,7 @@
             .env_remove("LB_CONFIG")
             .env_remove("LB_OPS")
             .env("FAILPOINTS", &self.faults)
+            .envs(self.env.iter().cloned())
             // No hand-over between a process and the next under its id, unless the story is of an upgrade.
             .env("TMPDIR", if self.meets { folder.to_path_buf() } else { folder.join("none") })
             .stdin(Stdio::null())
--- a/crates/fleet/src/view/mod.rs
+++ b/crates/fleet/src/view/mod.rs
@@ -642,6 +642,11 @@
         self.active() && quiet && self.table.suspects.is_empty() && (self.joined || alone_long)
     }
 
+    /// Where a member says that it is reached.
+    pub fn address(&self, id: &MemberId) -> Option<SocketAddr> {
+        self.table.get(id).map(|entry| entry.record.news.address)
+    }
+
     /// Whether this is this member's id.
     pub fn is_me(&self, id: &MemberId) -> bool {
         self.set.id == *id
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -141,7 +141,9 @@
     };
     let status = question(Question::Status, "status", "Says how a gatekeeper sees its fleet");
     let members = question(Question::Members, "members", "Prints the fleet's members as a table");
-    construct!([status, members])
+    let owners = question(Question::Owners, "owners", "Prints whose each item of work is, with its token");
+    let log = question(Question::Log, "log", "Prints what the fleet's log has decided of late");
+    construct!([status, members, owners, log])
         .to_options()
         .descr("Asks a gatekeeper about the fleet that it is part of")
         .footer("Example: cobaltspool fleet status --door 127.0.0.1:9800 --format json")
--- a/src/fleet/ask.rs
+++ b/src/fleet/ask.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use super::status::{Status, table};
+use super::status::{self, Line, Status, table};
 use crate::cli::Format;
 
 /// A door answers within a second, or there is nobody to ask.
@@ -22,6 +22,10 @@
     Status,
     /// The members.
     Members,
+    /// Whose each item of work is.
+    Owners,
+    /// What the fleet's log holds of late.
+    Log,
 }
 
 /// Asks a door over HTTP: the status and the body.
@@ -47,7 +51,8 @@
 
 /// Asks, and prints the answer.
 pub fn ask(question: Question, door: SocketAddr, format: Format) -> ExitCode {
-    let (status, body) = match get(door, "/control/fleet") {
+    let path = if question == Question::Log { "/control/fleet/log" } else { "/control/fleet" };
+    let (status, body) = match get(door, path) {
         Ok(answer) => answer,
         Err(e) => {
             eprintln!("cobaltspool: {e}");
@@ -58,12 +63,16 @@
         eprintln!("cobaltspool: {}", body.trim());
         return ExitCode::FAILURE;
     }
+    if question == Question::Log {
+        return match serde_json::from_str::<Vec<Line>>(&body) {
+            Ok(lines) if format == Format::Text => print(&status::log(&lines)),
+            Ok(_) => print(&(body + "\n")),
+            Err(e) => unreadable(&e),
+        };
+    }
     let object: Status = match serde_json::from_str(&body) {
         Ok(object) => object,
-        Err(e) => {
-            eprintln!("cobaltspool: the answer does not read ({e}): is the gatekeeper of another version?");
-            return ExitCode::FAILURE;
-        }
+        Err(e) => return unreadable(&e),
     };
     match (question, format) {
         (Question::Status, Format::Json) => println!("{body}"),
@@ -72,6 +81,20 @@
             println!("{}", serde_json::to_string(&object.members).unwrap_or_default());
         }
         (Question::Members, Format::Text) => print!("{}", table(&object.members)),
+        (Question::Owners, Format::Json) => {
+            println!("{}", serde_json::to_string(&object.owners).unwrap_or_default());
+        }
+        (Question::Owners | Question::Log, _) => print!("{}", status::owners(&object.owners)),
     }
     ExitCode::SUCCESS
 }
+
+fn print(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn unreadable(e: &serde_json::Error) -> ExitCode {
+    eprintln!("cobaltspool: the answer does not read ({e}): is the gatekeeper of another version?");
+    ExitCode::FAILURE
+}
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -52,6 +52,11 @@
     pub period: Option<Span>,
     /// For how long members that are down or left are listed; 1 h by default.
     pub memory: Option<Span>,
+    /// For how long an owner of work goes on without a majority's word; 4 periods by default, at least 2 and at most 1 min. The same
+    /// for all members.
+    pub lease: Option<Span>,
+    /// A voter's folder that is whole is believed at a start, so that it votes at once; one that was put back is not noticed then.
+    pub trust_disk: bool,
 }
 
 /// A member that is looked for by name.
@@ -86,6 +91,14 @@
     pub period: Micros,
     /// For how long the dead are listed.
     pub memory: Micros,
+    /// Who keeps the fleet's log; empty: nobody.
+    pub voters: Vec<MemberId>,
+    /// A voter's folder.
+    pub state: Option<PathBuf>,
+    /// For how long an owner of work goes on without a majority's word.
+    pub lease: Micros,
+    /// A folder that is whole is believed.
+    pub trust_disk: bool,
 }
 
 /// Which part this process has in a fleet.
@@ -225,7 +238,21 @@
             let at = self.at.key("period");
             self.wrong("period", at, "a period is 100 ms to 1 min", "write one between, as in \"1s\"");
         }
-        self.voters(&section);
+        let lease = section.lease.map_or(period * 4, |l| l.0);
+        if section.lease.is_some() && !(period * 2..=PERIOD_MOST).contains(&lease) {
+            let at = self.at.key("lease");
+            self.wrong("lease", at, "a lease is 2 periods to 1 min", "write one between, as in \"4s\"");
+        }
+        let voters = self.voters(&section);
+        if id.as_ref().is_some_and(|id| voters.contains(id)) && section.state.is_none() {
+            let remedy = "add state, a folder of its own that survives restarts, as in \"state/fleet\"";
+            self.wrong(
+                "state",
+                self.at.key("state"),
+                "this member votes and has no folder for its log",
+                remedy,
+            );
+        }
         let key = self.key(&section, address);
         let members = section.members.iter().map(|(id, m)| (id.clone(), m.address)).collect::<Vec<_>>();
         let known = self.ids("members", members);
@@ -240,30 +267,27 @@
             key: key?,
             period,
             memory: section.memory.map_or(MEMORY, |m| m.0),
+            voters,
+            state: section.state,
+            lease,
+            trust_disk: section.trust_disk,
         })
     }
 
-    fn voters(&mut self, section: &Section) {
+    fn voters(&mut self, section: &Section) -> Vec<MemberId> {
         let at = self.at.key("voters");
+        let mut voters = Vec::new();
         for (n, voter) in section.voters.iter().enumerate() {
-            self.id(at.index(n), voter);
+            voters.extend(self.id(at.index(n), voter));
             if section.voters[..n].contains(voter) {
                 self.wrong("voters", at.index(n), format!("'{voter}' stands twice"), "leave one of them out");
             }
         }
         match section.voters.len() {
-            0 => {}
-            3 | 5 | 7 => self.findings.push(
-                Finding::error(
-                    "voters",
-                    at,
-                    "this version keeps no log: voters have no effect yet",
-                    "leave them, or write [] until then",
-                )
-                .warning(),
-            ),
+            0 | 3 | 5 | 7 => {}
             n => self.wrong("voters", at, format!("there are {n} voters"), "name 3, 5 or 7, or none"),
         }
+        voters
     }
 
     /// `None`: there is none that may be used.
--- a/src/fleet/shell.rs
+++ b/src/fleet/shell.rs
@@ -19,6 +19,13 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use cobaltspool_fleet::member::MemberId;
+use cobaltspool_fleet::owner::{Who, Work};
+use cobaltspool_fleet::parcel::{PARCEL_BYTES, Parcel};
+use tokio::sync::{Notify, mpsc};
+
+use super::council::{Council, Seat};
+use super::courier::Couriers;
 use super::settings::Fleet;
 use super::status::{Dropped, Status};
 use super::stream;
@@ -34,6 +41,14 @@
 const STREAMS_IN: usize = 4;
 /// Streams held open to others, at most.
 const STREAMS_OUT: usize = 2;
+/// Streams of parcels held open by others, at most.
+const PARCELS_IN: usize = 64;
+/// A stream that brings no parcel for so long is closed.
+const PARCELS_IDLE: Duration = Duration::from_secs(30);
+/// An election timeout in periods.
+const ELECTION: u64 = 2;
+/// What is said on the way out is written within this.
+const LAST_WORDS: Duration = Duration::from_millis(100);
 /// Between tries to bind an address that another process has.
 const BIND_AGAIN: Duration = Duration::from_millis(250);
 
@@ -71,15 +86,28 @@
     /// Digest of the operators' file.
     ops: u64,
     address: Cell<SocketAddr>,
+    /// Its part among the voters, and in owning work; `None`: there are no voters.
+    council: Option<Council>,
+    couriers: Rc<Couriers>,
+    /// The council wants a tick before the one it asked for.
+    stir: Notify,
+    #[cfg(feature = "faults")]
+    trial: super::for_tests::Trial,
+    streams_of_parcels: Cell<usize>,
 }
 
 impl operate::Fleet for Member {
     fn status(&self) -> String {
         let view = self.view.borrow();
-        let status = Status::of(&view, self.now(), self.set.period, self.dropped.get());
+        let council = self.council.as_ref().map(|c| c.shown(self.now()));
+        let status = Status::of(&view, self.now(), self.set.period, self.dropped.get(), council);
         serde_json::to_string(&status).unwrap_or_default()
     }
 
+    fn log(&self) -> Option<String> {
+        serde_json::to_string(&self.council.as_ref()?.lines()).ok()
+    }
+
     fn seen(&self) -> watch::Receiver<(Micros, Seen)> {
         self.seen.subscribe()
     }
@@ -105,6 +133,16 @@
     let draw =
         || OsRng.try_next_u64().map_err(|e| format!("the fleet needs the system's random numbers: {e}"));
     let address = bound.as_ref().map_or(set.address, |b| b.address);
+    let nonce = draw()? | 1;
+    let seat = (!set.voters.is_empty()).then(|| Seat {
+        who: Who { id: set.id.clone(), start: nonce },
+        voters: set.voters.clone(),
+        state: set.state.clone(),
+        election: set.period * ELECTION,
+        lease: set.lease,
+        trust_disk: set.trust_disk,
+    });
+    let council = seat.map(|seat| Council::new(0, seat));
     let setup = Setup {
         id: set.id.clone(),
         zone: set.zone.as_str().into(),
@@ -114,7 +152,7 @@
         known: set.known.clone(),
         period: set.period,
         memory: set.memory,
-        nonce: draw()? | 1,
+        nonce,
     };
     let settling = View::bound(set.period, set.known.len());
     let member = Rc::new(Member {
@@ -126,8 +164,19 @@
         seen: watch::Sender::new((settling, Seen::default())),
         ops,
         address: Cell::new(address),
+        council,
+        couriers: Rc::default(),
+        stir: Notify::new(),
+        streams_of_parcels: Cell::new(0),
+        #[cfg(feature = "faults")]
+        trial: super::for_tests::Trial::asked_for(),
         set,
     });
+    if let (Some(council), Some(release)) = (&member.council, Work::new("release")) {
+        council.wants(release);
+        #[cfg(feature = "faults")]
+        member.trial.join(council);
+    }
     desk.attend_fleet(member.clone());
     Ok(Joined { member, bound, desk: desk.clone() })
 }
@@ -151,7 +200,11 @@
             };
             tokio::select! {
                 () = member.take_part(&next, &desk) => {}
-                () = &mut stop => return member.leave(),
+                () = &mut stop => {
+                    member.leave();
+                    // What it put down is told on streams, which need a moment.
+                    return sleep(LAST_WORDS).await;
+                }
             }
         }
     }
@@ -196,6 +249,10 @@
             () = self.hear(&bound.udp) => {}
             () = self.accept(&bound.tcp) => {}
             () = self.keep_time(desk) => {}
+            () = self.keep_council() => {}
+        }
+        if let Some(council) = &self.council {
+            self.post(council.rise(self.now()));
         }
         *self.udp.borrow_mut() = None;
     }
@@ -235,17 +292,21 @@
         match wire::decode(bytes, most, &self.set.key) {
             Ok(frame) => Some(frame),
             Err(why) => {
-                self.count(|d| match why {
-                    Drop::Cut => d.cut += 1,
-                    Drop::Oversized => d.oversized += 1,
-                    Drop::Forged => d.forged += 1,
-                    Drop::Version => d.version += 1,
-                });
+                self.count_drop(why);
                 None
             }
         }
     }
 
+    fn count_drop(&self, why: Drop) {
+        self.count(|d| match why {
+            Drop::Cut => d.cut += 1,
+            Drop::Oversized => d.oversized += 1,
+            Drop::Forged => d.forged += 1,
+            Drop::Version => d.version += 1,
+        });
+    }
+
     async fn accept(self: &Rc<Self>, tcp: &TcpListener) {
         let places = Rc::new(());
         loop {
@@ -259,11 +320,19 @@
             }
             let (member, place) = (self.clone(), places.clone());
             tokio::task::spawn_local(async move {
-                let whole = async {
-                    let Some(bytes) = stream::read(&mut stream).await? else {
+                // Who sends a parcel first goes on sending parcels, on a place of another kind.
+                let first = timeout(stream::WHOLE, stream::read(&mut stream, PARCEL_BYTES)).await;
+                let Ok(Ok(Some(bytes))) = first else {
+                    if matches!(first, Ok(Ok(None))) {
                         member.count(|d| d.oversized += 1);
-                        return Ok(());
-                    };
+                    }
+                    return;
+                };
+                if wire::is_parcel(&bytes) {
+                    drop(place);
+                    return member.take_parcels(stream, bytes).await;
+                }
+                let whole = async {
                     let Some(frame) = member.read(&bytes, STREAM_BYTES) else { return Ok(()) };
                     let answer = {
                         let mut view = member.view.borrow_mut();
@@ -284,6 +353,85 @@
         }
     }
 
+    async fn take_parcels(self: &Rc<Self>, mut stream: TcpStream, first: Vec<u8>) {
+        let Some(council) = &self.council else { return };
+        if self.streams_of_parcels.get() >= PARCELS_IN {
+            return self.count(|d| d.streams += 1);
+        }
+        self.streams_of_parcels.set(self.streams_of_parcels.get() + 1);
+        let mut next = Some(first);
+        while let Some(bytes) = next {
+            match wire::decode_parcel(&bytes, &self.set.key) {
+                // One who stands by for a newer start under its id takes no part.
+                Ok(parcel) if self.view.borrow().active() => {
+                    let mut parcels = Vec::new();
+                    council.take(self.now(), parcel, &mut parcels);
+                    self.post(parcels);
+                    self.stir.notify_one();
+                }
+                Ok(_) => self.count(|d| d.replayed += 1),
+                Err(why) => {
+                    self.count_drop(why);
+                    break;
+                }
+            }
+            next = timeout(PARCELS_IDLE, stream::read(&mut stream, PARCEL_BYTES))
+                .await
+                .ok()
+                .and_then(Result::ok)
+                .flatten();
+        }
+        self.streams_of_parcels.set(self.streams_of_parcels.get() - 1);
+    }
+
+    fn post(&self, parcels: Vec<Parcel>) {
+        for parcel in parcels {
+            let Some(address) = self.address_of(&parcel.to) else { continue };
+            let bytes = wire::encode_parcel(&parcel, &self.set.key);
+            if !self.couriers.send(&parcel.to, address, bytes) {
+                self.count(|d| d.unsent += 1);
+            }
+        }
+    }
+
+    /// Where a member is reached: as the file says, as it told, or as it is looked for by name.
+    fn address_of(&self, id: &MemberId) -> Option<SocketAddr> {
+        let told = || self.view.borrow().address(id);
+        let known = || self.set.known.iter().find(|(known, _)| known == id).map(|(_, at)| *at);
+        self.set.via.get(id).copied().or_else(told).or_else(known)
+    }
+
+    /// The council's time, and its disk's words.
+    async fn keep_council(self: &Rc<Self>) {
+        let Some(council) = &self.council else { return std::future::pending().await };
+        let (says, mut words) = mpsc::unbounded_channel();
+        let mut sits = self.now();
+        loop {
+            let (now, mut parcels) = (self.now(), Vec::new());
+            if council.stands() && now >= sits {
+                // A folder that another process has, maybe the older one of an upgrade, is tried again.
+                sits = now + self.set.period;
+                let nonce = OsRng.try_next_u64().unwrap_or(now) | 1;
+                council.sit(now, nonce, says.clone(), &mut parcels);
+            }
+            let active = self.view.borrow().active();
+            let due = if active { council.tick(now, &mut parcels) } else { now + self.set.period };
+            self.post(parcels);
+            #[cfg(feature = "faults")]
+            self.trial.act(&self.set.id, || self.now(), council);
+            let wait = due.saturating_sub(now).clamp(5_000, self.set.period / 4);
+            tokio::select! {
+                () = sleep(Duration::from_micros(wait)) => {}
+                () = self.stir.notified() => {}
+                Some(word) = words.recv() => {
+                    let mut parcels = Vec::new();
+                    council.written(self.now(), word, &mut parcels);
+                    self.post(parcels);
+                }
+            }
+        }
+    }
+
     fn take_table(self: &Rc<Self>, frame: Frame) {
         let mut out = Vec::new();
         self.view.borrow_mut().take_exchange(self.now(), frame, &mut out);
@@ -303,7 +451,7 @@
                 let own = member.view.borrow_mut().exchange(member.now());
                 stream::write(&mut stream, &wire::encode(&own, &member.set.key)).await?;
                 if let Some(frame) =
-                    stream::read(&mut stream).await?.and_then(|b| member.read(&b, STREAM_BYTES))
+                    stream::read(&mut stream, STREAM_BYTES).await?.and_then(|b| member.read(&b, STREAM_BYTES))
                 {
                     member.take_table(frame);
                 }
@@ -382,6 +530,9 @@
     }
 
     fn leave(self: &Rc<Self>) {
+        if let Some(council) = &self.council {
+            self.post(council.puts_all_down(self.now()));
+        }
         let mut out = Vec::new();
         self.view.borrow_mut().leave(self.now(), &mut out);
         self.carry_out(out, None);
--- a/src/fleet/status.rs
+++ b/src/fleet/status.rs
@@ -13,14 +13,14 @@
     pub id: String,
     /// No suspect, and no change for three periods.
     pub settled: bool,
-    /// Of the voters; there are none yet.
+    /// A majority of the voters is at work, as far as this one can tell; null: there are no voters.
     pub majority: Option<bool>,
     /// All members, this one among them.
     pub members: Vec<Member>,
-    /// This one as a voter; there are none yet.
-    pub voter: Option<serde_json::Value>,
-    /// Owners of work; there are none yet.
-    pub owners: Vec<serde_json::Value>,
+    /// This one as a voter, if it is one.
+    pub voter: Option<Voter>,
+    /// Whose each item of work is; one that does not vote knows its own only.
+    pub owners: Vec<Owner>,
     /// Who is out; nothing counts them yet.
     pub out: Vec<serde_json::Value>,
     /// A release; there is none yet.
@@ -35,6 +35,62 @@
     pub bound_ms: u64,
 }
 
+/// A voter.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Voter {
+    /// leader, candidate or follower.
+    pub role: String,
+    /// Its term.
+    pub term: u64,
+    /// Who leads, where it knows.
+    pub leader: Option<String>,
+    /// voting, amnesiac or read-only.
+    pub standing: String,
+    /// Up to where the log is committed, as far as it knows.
+    pub committed: u64,
+    /// Why it does not vote, and what to do.
+    pub trouble: Option<String>,
+}
+
+/// An item of work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The item.
+    pub work: String,
+    /// Whose it is; null: nobody's now.
+    pub owner: Option<String>,
+    /// The fencing token.
+    pub token: u64,
+    /// The one that tells owns it, and its lease runs.
+    pub mine: bool,
+}
+
+/// A change that the log holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Its index; the token, where it grants.
+    pub index: u64,
+    /// The leader's term.
+    pub term: u64,
+    /// The item.
+    pub work: String,
+    /// The token that it replaces; where another held by then, nothing was done.
+    pub after: u64,
+    /// To whom; null: freed.
+    pub owner: Option<String>,
+}
+
+/// What the voters' part adds to the object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Council {
+    /// A majority is at work.
+    pub majority: bool,
+    /// This one as a voter.
+    pub voter: Option<Voter>,
+    /// Whose each item is.
+    pub owners: Vec<Owner>,
+}
+
 /// A member.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
@@ -100,16 +156,22 @@
 
 impl Status {
     /// As it is now.
-    pub fn of(view: &View, now: Micros, period: Micros, dropped: Dropped) -> Status {
+    pub fn of(
+        view: &View,
+        now: Micros,
+        period: Micros,
+        dropped: Dropped,
+        council: Option<Council>,
+    ) -> Status {
         let members = view.members(now);
         let me = members.iter().find(|m| view.is_me(&m.id));
         let twin = view.twin().map(|t| Twin { address: t.address, age_ms: t.age / 1000 });
         Status {
             id: me.map(|m| m.id.to_string()).unwrap_or_default(),
             settled: view.settled(now),
-            majority: None,
-            voter: None,
-            owners: Vec::new(),
+            majority: council.as_ref().map(|c| c.majority),
+            voter: council.as_ref().and_then(|c| c.voter.clone()),
+            owners: council.map(|c| c.owners).unwrap_or_default(),
             out: Vec::new(),
             release: None,
             stands_by: view.stands_by(),
@@ -147,10 +209,56 @@
         if !causes.is_empty() {
             out.push_str(&format!("frames dropped: {}\n", causes.join(", ")));
         }
+        if let Some(majority) = self.majority {
+            out.push_str(if majority {
+                "a majority of the voters is at work\n"
+            } else {
+                "no majority of the voters\n"
+            });
+        }
+        if let Some(voter) = &self.voter {
+            let leader = voter.leader.as_deref().unwrap_or("nobody known");
+            let trouble = voter.trouble.as_ref().map(|t| format!(": {t}")).unwrap_or_default();
+            out.push_str(&format!(
+                "voter: {}, {}, term {}, led by {leader}{trouble}\n",
+                voter.standing, voter.role, voter.term
+            ));
+        }
         out + &table(&self.members)
     }
 }
 
+/// Owners as a table for people.
+pub fn owners(owners: &[Owner]) -> String {
+    let mut rows = vec![["WORK", "OWNER", "TOKEN", "MINE"].map(str::to_string).to_vec()];
+    rows.extend(owners.iter().map(|o| {
+        let owner = o.owner.clone().unwrap_or_else(|| "-".into());
+        vec![o.work.clone(), owner, o.token.to_string(), if o.mine { "yes" } else { "no" }.to_string()]
+    }));
+    aligned(rows)
+}
+
+/// Lines of the log as a table for people.
+pub fn log(lines: &[Line]) -> String {
+    let mut rows = vec![["INDEX", "TERM", "WORK", "AFTER", "OWNER"].map(str::to_string).to_vec()];
+    rows.extend(lines.iter().map(|l| {
+        let owner = l.owner.clone().unwrap_or_else(|| "freed".into());
+        vec![l.index.to_string(), l.term.to_string(), l.work.clone(), l.after.to_string(), owner]
+    }));
+    aligned(rows)
+}
+
+fn aligned(rows: Vec<Vec<String>>) -> String {
+    let columns = rows.first().map_or(0, Vec::len);
+    let widths: Vec<usize> =
+        (0..columns).map(|n| rows.iter().map(|r| r[n].chars().count()).max().unwrap_or(0)).collect();
+    let line = |row: Vec<String>| {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_string() + "\n"
+    };
+    rows.into_iter().map(line).collect()
+}
+
 /// The members as a table for people.
 pub fn table(members: &[Member]) -> String {
     let head = ["ID", "STATE", "ZONE", "ADDRESS", "INCARNATION", "VERSION", "HEARD", "CALLS", "DOES"];
@@ -171,13 +279,7 @@
             if m.state == "alive" { does.to_string() } else { "-".to_string() },
         ]);
     }
-    let widths: Vec<usize> =
-        (0..head.len()).map(|n| rows.iter().map(|r| r[n].chars().count()).max().unwrap_or(0)).collect();
-    let line = |row: Vec<String>| {
-        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
-        cells.collect::<Vec<_>>().join("  ").trim_end().to_string() + "\n"
-    };
-    rows.into_iter().map(line).collect()
+    aligned(rows)
 }
 
 impl Member {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::time::Duration;
 
-use cobaltspool_fleet::wire::STREAM_BYTES;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -19,9 +18,9 @@
 }
 
 /// Reads one frame; `None`: it says that it is longer than may be. Room is taken as bytes come, not as they are claimed.
-pub(super) async fn read(stream: &mut TcpStream) -> io::Result<Option<Vec<u8>>> {
+pub(super) async fn read(stream: &mut TcpStream, most: usize) -> io::Result<Option<Vec<u8>>> {
     let length = stream.read_u32().await? as usize;
-    if length > STREAM_BYTES {
+    if length > most {
         return Ok(None);
     }
     let mut bytes = Vec::new();
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -41,6 +41,9 @@
     /// The object that `GET /control/fleet` answers.
     fn status(&self) -> String;
 
+    /// The list that `GET /control/fleet/log` answers; `None`: there are no voters.
+    fn log(&self) -> Option<String>;
+
     /// What the fronts hear of it.
     fn seen(&self) -> watch::Receiver<(Micros, Seen)>;
 }
@@ -137,7 +140,7 @@
             return set_fault(fault);
         }
         let allow = match path {
-            "/control/ready" | "/control/counters" | "/control/fleet" => "GET, HEAD",
+            "/control/ready" | "/control/counters" | "/control/fleet" | "/control/fleet/log" => "GET, HEAD",
             "/control/out-of-service" | "/control/in-service" => "PUT",
             _ => return Answer::new(404, "no such call\n"),
         };
@@ -155,6 +158,10 @@
                     "this gatekeeper is in no fleet: its operators' file has no fleet section\n",
                 ),
             },
+            "/control/fleet/log" => match self.fleet.borrow().as_ref().and_then(|fleet| fleet.log()) {
+                Some(lines) => Answer::json(lines),
+                None => Answer::new(404, "there is no fleet here, or it has no voters and so no log\n"),
+            },
             "/control/out-of-service" => self.send_away(true),
             _ if self.stopping.get() => Answer::new(409, "the program ends\n"),
             _ => self.send_away(false),
--- /dev/null
+++ b/tests/owner.rs
@@ -0,0 +1,308 @@
+//! Stories of owned work: several real gatekeepers of which some keep the fleet's log, links and disks that are broken between them,
+//! calls on both fronts all the while, and a witness that carries out what owners send. Each ends with invariant 2 over what it did.
+
+mod peers;
+
+use std::time::{Duration, Instant};
+
+use cobaltspool_fleet_rig::Rig;
+use cobaltspool_fleet_rig::history::Seen;
+use cobaltspool_fleet_rig::witness::Witness;
+use peers::site::*;
+use serde_json::Value;
+
+/// Items of work that the processes are told to want.
+const WORKS: usize = 4;
+
+struct Owned {
+    site: Site,
+    witness: Witness,
+}
+
+fn owned(members: usize, voters: usize, linked: bool) -> Owned {
+    let witness = Witness::start(true);
+    let at = witness.at.to_string();
+    let site = site_by(members, linked, |plan| {
+        plan.voters = voters;
+        plan.env =
+            vec![("COBALTSPOOL_TEST_WORKS".into(), WORKS.to_string()), ("COBALTSPOOL_WITNESS".into(), at)];
+    });
+    let mut owned = Owned { site, witness };
+    owned.all_owned("work is given out");
+    owned
+}
+
+/// Processes that hold an item, by their own word.
+fn holders(seen: &[Option<Seen>], work: &str) -> Vec<usize> {
+    let mine = |seen: &Seen| {
+        let owners = seen.object["owners"].as_array().cloned().unwrap_or_default();
+        owners.iter().any(|o| o["work"] == work && o["mine"] == true)
+    };
+    (0..seen.len()).filter(|n| seen[*n].as_ref().is_some_and(mine)).collect()
+}
+
+fn voter(seen: &[Option<Seen>], n: usize) -> &Value {
+    seen[n].as_ref().map_or(&Value::Null, |s| &s.object["voter"])
+}
+
+fn leader(seen: &[Option<Seen>]) -> Option<usize> {
+    (0..seen.len()).find(|n| {
+        voter(seen, *n)["role"] == "leader" && seen[*n].as_ref().is_some_and(|s| s.object["majority"] == true)
+    })
+}
+
+fn works() -> Vec<String> {
+    (0..WORKS).map(|n| format!("test/{n}")).chain(["release".to_string()]).collect()
+}
+
+impl Owned {
+    fn rig(&mut self) -> &mut Rig {
+        &mut self.site.rig
+    }
+
+    /// Every item has one holder, and some voter leads; how long that took.
+    fn all_owned(&mut self, what: &str) -> Duration {
+        self.rig().until(what, Duration::from_secs(60), |_, seen| {
+            for work in works() {
+                let holders = holders(seen, &work);
+                if holders.len() != 1 {
+                    return Err(format!("{work} is held by {holders:?}"));
+                }
+            }
+            leader(seen).map(|_| ()).ok_or("nobody leads".into())
+        })
+    }
+
+    fn leader(&mut self) -> usize {
+        let seen = self.rig().look();
+        leader(&seen).expect("a leader")
+    }
+
+    fn holder(&mut self, work: &str) -> usize {
+        let seen = self.rig().look();
+        holders(&seen, work)[0]
+    }
+
+    fn stands(&mut self, n: usize, standing: &'static str) -> Duration {
+        let what = format!("n{n} is {standing}");
+        self.rig().until(&what, Duration::from_secs(60), |_, seen| {
+            let voter = voter(seen, n);
+            if voter["standing"] == standing { Ok(()) } else { Err(voter.to_string()) }
+        })
+    }
+
+    /// So many effects more have been carried out: the work goes on.
+    fn goes_on(&mut self, effects: usize) {
+        let count = |w: &Witness| w.rows().iter().filter(|r| r.done).count();
+        let (start, before) = (Instant::now(), count(&self.witness));
+        while count(&self.witness) < before + effects {
+            assert!(start.elapsed() < Duration::from_secs(60), "no effects come");
+            self.rig().go_on(Duration::from_millis(50));
+        }
+    }
+
+    fn checked(self) -> usize {
+        let changes = self.witness.check().expect("invariant 2");
+        self.site.checked();
+        changes
+    }
+}
+
+/// Owners change by kill, stop, cut and clean leave, one after the other; the witness carries out nothing of an earlier one after a
+/// later one, and the calls go on.
+#[test]
+fn owners_change_and_an_earlier_one_does_nothing_any_more() {
+    let mut owned = owned(5, 3, true);
+    let calls = Calls::at(&gates(&owned.site.rig, [3, 4]));
+    for round in 0..3 {
+        // Voters only, so that the calls' gatekeepers stay: whoever leads is killed, stopped or cut off.
+        let n = owned.leader();
+        let cut = set([n]);
+        let rest = owned.rig().links.rest(&cut);
+        match round {
+            0 => owned.rig().kill(n),
+            1 => owned.rig().pause(n, true),
+            _ => owned.rig().links.cut(&cut, &rest, true),
+        }
+        let others = Duration::from_secs(60);
+        owned.rig().until("the others own all", others, |_, seen| {
+            for work in works() {
+                let held: Vec<usize> = holders(seen, &work).into_iter().filter(|h| *h != n).collect();
+                if held.len() != 1 {
+                    return Err(format!("{work} is held by {held:?}"));
+                }
+            }
+            Ok(())
+        });
+        owned.goes_on(20);
+        match round {
+            0 => owned.rig().run(n),
+            1 => owned.rig().pause(n, false),
+            _ => owned.rig().links.heal(),
+        }
+        owned.rig().settles("it is back");
+        owned.stands(n, "voting");
+        owned.all_owned("all is owned once");
+    }
+    let leaves = owned.holder("test/0");
+    if leaves < 3 {
+        let start = Instant::now();
+        owned.rig().terminate(leaves);
+        owned.all_owned("the next has it");
+        println!("a clean leave: {:?}", start.elapsed());
+    }
+    calls.all_answered();
+    assert!(owned.checked() >= WORKS + 3, "too few changes of owner to show anything");
+}
+
+/// The owner stops between its check and the effect for longer than its lease, and goes on while its successor works: the effect comes
+/// late, and is not carried out.
+#[test]
+fn an_owner_that_stops_between_check_and_effect_comes_too_late() {
+    let mut owned = owned(5, 3, false);
+    let n = owned.holder("test/1");
+    let before = owned.witness.rows().len();
+    owned.rig().members[n].fault("effect", "1*sleep(5000)");
+    let start = Instant::now();
+    let id = format!("n{n}");
+    while !owned.witness.rows()[before..].iter().any(|r| r.owner == id && !r.done) {
+        assert!(start.elapsed() < Duration::from_secs(60), "the late effect never came");
+        owned.rig().go_on(Duration::from_millis(50));
+    }
+    owned.rig().settles("it is back");
+    owned.all_owned("all is owned once");
+    owned.checked();
+}
+
+/// A voter's folder is emptied, put back to an older copy, or its last record does not read, each while another voter is down: it knows
+/// that it may have forgotten, does not vote, and is whole again once the other is back. Tokens go on growing.
+#[test]
+fn a_voter_whose_disk_forgot_is_amnesiac_until_it_is_whole() {
+    let mut owned = owned(3, 3, true);
+    let calls = Calls::at(&gates(&owned.site.rig, [0]));
+    let state = owned.rig().state("n1");
+    let copy = state.with_extension("copy");
+    std::fs::create_dir_all(&copy).unwrap();
+    std::fs::copy(state.join("log"), copy.join("log")).unwrap();
+    for fault in ["empty", "older", "flipped"] {
+        // Something is decided after the copy, with n1's part in it.
+        owned.rig().kill(2);
+        owned.all_owned("two go on");
+        owned.rig().kill(1);
+        match fault {
+            "empty" => std::fs::remove_dir_all(&state).unwrap(),
+            "older" => drop(std::fs::copy(copy.join("log"), state.join("log")).unwrap()),
+            _ => {
+                let mut bytes = std::fs::read(state.join("log")).unwrap();
+                *bytes.last_mut().unwrap() ^= 4;
+                std::fs::write(state.join("log"), bytes).unwrap();
+            }
+        }
+        owned.rig().run(1);
+        owned.stands(1, "amnesiac");
+        // For as long as n2 is down nobody can say what n1 promised: nothing is decided.
+        let wait = owned.rig().period() * 12;
+        let until = Instant::now() + wait;
+        while Instant::now() < until {
+            let seen = owned.rig().look();
+            assert_eq!(voter(&seen, 1)["standing"], "amnesiac", "{fault}");
+            assert_eq!(leader(&seen).filter(|n| *n == 1), None, "{fault}");
+        }
+        owned.rig().run(2);
+        owned.stands(1, "voting");
+        owned.all_owned("the fleet goes on");
+    }
+    calls.all_answered();
+    owned.checked();
+}
+
+/// Disks fail one by one: each voter whose writes or syncs fail is read-only and says why; with two of three so there is no majority, calls
+/// go on, and a start with a whole disk brings it back.
+#[test]
+fn voters_whose_disks_fail_are_read_only_and_calls_go_on() {
+    let mut owned = owned(4, 3, true);
+    let calls = Calls::at(&gates(&owned.site.rig, [0, 3]));
+    for (n, point) in [(0, "disk-write"), (1, "disk-sync")] {
+        owned.rig().members[n].fault(point, "return");
+        // A voter's new start is something to write for the others.
+        owned.rig().kill(2);
+        owned.rig().run(2);
+        owned.stands(n, "read-only");
+        let seen = owned.rig().look();
+        let trouble = voter(&seen, n)["trouble"].as_str().unwrap_or_default().to_string();
+        assert!(trouble.contains("write failed") && trouble.contains("start anew"), "{trouble}");
+    }
+    owned.rig().until("there is no majority", Duration::from_secs(60), |_, seen| {
+        let any = seen.iter().flatten().any(|s| s.object["majority"] == true);
+        if any { Err("somebody sees one".into()) } else { Ok(()) }
+    });
+    owned.rig().members[0].fault("disk-write", "off");
+    for n in [1, 2] {
+        owned.rig().kill(n);
+        owned.rig().run(n);
+    }
+    calls.all_answered();
+    owned.rig().kill(0);
+    owned.rig().run(0);
+    owned.all_owned("all are whole again");
+    owned.checked();
+}
+
+/// A second process finds the voter's folder locked: it says so and does not vote; the first goes on.
+#[test]
+fn a_folder_that_another_process_has_is_told() {
+    let mut owned = owned(3, 3, false);
+    let twin = owned.rig().twin(2, 0);
+    owned.rig().until("it says why", Duration::from_secs(60), |_, seen| {
+        let trouble = voter(seen, twin)["trouble"].as_str().unwrap_or_default().to_string();
+        if trouble.contains("another process has it locked") { Ok(()) } else { Err(trouble) }
+    });
+    owned.rig().kill(twin);
+    owned.rig().settles("one is left");
+    owned.all_owned("all is owned once");
+    owned.checked();
+}
+
+/// The leader is not heard and hears all, and the other way about: another leads, and there is one owner throughout.
+#[test]
+fn a_leader_cut_one_way_gives_way() {
+    let mut owned = owned(5, 5, true);
+    for deaf in [false, true] {
+        let n = owned.leader();
+        let (one, rest) = (set([n]), owned.rig().links.rest(&set([n])));
+        if deaf {
+            owned.rig().links.cut(&rest, &one, false);
+        } else {
+            owned.rig().links.cut(&one, &rest, false);
+        }
+        owned.rig().until("another leads", Duration::from_secs(60), |_, seen| match leader(seen) {
+            Some(other) if other != n => Ok(()),
+            other => Err(format!("{other:?} leads")),
+        });
+        owned.rig().links.heal();
+        owned.all_owned("it heals");
+    }
+    owned.checked();
+}
+
+#[test]
+fn the_command_line_shows_owners_and_the_log() {
+    let owned = owned(3, 3, false);
+    let ask = |what: &str, format: &str| {
+        let door = owned.site.rig.members[0].door().to_string();
+        let done = std::process::Command::new(env!("CARGO_BIN_EXE_cobaltspool"))
+            .args(["fleet", what, "--door", &door, "--format", format])
+            .output()
+            .unwrap();
+        assert!(done.status.success());
+        String::from_utf8(done.stdout).unwrap()
+    };
+    assert!(ask("owners", "text").lines().any(|l| l.starts_with("release ")), "{}", ask("owners", "text"));
+    let owners: Value = serde_json::from_str(&ask("owners", "json")).unwrap();
+    assert_eq!(owners.as_array().unwrap().len(), WORKS + 1);
+    let log: Value = serde_json::from_str(&ask("log", "json")).unwrap();
+    assert!(log.as_array().unwrap().len() > WORKS, "{log}");
+    assert!(ask("log", "text").starts_with("INDEX"));
+    assert!(ask("status", "text").contains("a majority of the voters is at work"));
+    owned.checked();
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod sip;
+pub mod site;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
