--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -9,6 +9,7 @@
 use cobaltspool_fleet_rig::history::Seen;
 use cobaltspool_fleet_rig::witness::Witness;
 use peers::site::*;
+use rstest::rstest;
 use serde_json::Value;
 
 /// Items of work that the processes are told to want.
@@ -60,6 +61,22 @@
         &mut self.site.rig
     }
 
+    /// A member is cut off from all others: both ways, or so that it is not heard, or does not hear.
+    fn cut(&mut self, n: usize, way: &str) {
+        let (one, rest) = (set([n]), self.rig().links.rest(&set([n])));
+        match way {
+            "both ways" => self.rig().links.cut(&one, &rest, true),
+            "not heard" => self.rig().links.cut(&one, &rest, false),
+            _ => self.rig().links.cut(&rest, &one, false),
+        }
+        self.rig().history.disturb();
+    }
+
+    fn heal(&mut self) {
+        self.rig().links.heal();
+        self.rig().history.disturb();
+    }
+
     /// Every item has one holder, and some voter leads; how long that took.
     fn all_owned(&mut self, what: &str) -> Duration {
         self.rig().until(what, Duration::from_secs(60), |_, seen| {
@@ -117,12 +134,10 @@
     for round in 0..3 {
         // Voters only, so that the calls' gatekeepers stay: whoever leads is killed, stopped or cut off.
         let n = owned.leader();
-        let cut = set([n]);
-        let rest = owned.rig().links.rest(&cut);
         match round {
             0 => owned.rig().kill(n),
             1 => owned.rig().pause(n, true),
-            _ => owned.rig().links.cut(&cut, &rest, true),
+            _ => owned.cut(n, "both ways"),
         }
         let others = Duration::from_secs(60);
         owned.rig().until("the others own all", others, |_, seen| {
@@ -138,7 +153,7 @@
         match round {
             0 => owned.rig().run(n),
             1 => owned.rig().pause(n, false),
-            _ => owned.rig().links.heal(),
+            _ => owned.heal(),
         }
         owned.rig().settles("it is back");
         owned.stands(n, "voting");
@@ -267,19 +282,14 @@
 #[test]
 fn a_leader_cut_one_way_gives_way() {
     let mut owned = owned(5, 5, true);
-    for deaf in [false, true] {
+    for way in ["not heard", "deaf"] {
         let n = owned.leader();
-        let (one, rest) = (set([n]), owned.rig().links.rest(&set([n])));
-        if deaf {
-            owned.rig().links.cut(&rest, &one, false);
-        } else {
-            owned.rig().links.cut(&one, &rest, false);
-        }
+        owned.cut(n, way);
         owned.rig().until("another leads", Duration::from_secs(60), |_, seen| match leader(seen) {
             Some(other) if other != n => Ok(()),
             other => Err(format!("{other:?} leads")),
         });
-        owned.rig().links.heal();
+        owned.heal();
         owned.all_owned("it heals");
     }
     owned.checked();
@@ -308,44 +318,45 @@
 }
 
 /// For how long an item is nobody's after each kind of loss of its owner: the table of `docs/measurements/owner.md`.
-#[test]
+#[rstest]
+#[case::kill("kill")]
+#[case::stop("stop")]
+#[case::cut("cut")]
+#[case::leave("leave")]
 #[ignore = "a measurement of some minutes"]
-fn time_without_an_owner() {
+fn time_without_an_owner(#[case] kind: &str) {
     let rounds = 15;
-    for kind in ["kill", "stop", "cut", "leave"] {
-        let mut owned = owned(5, 3, true);
-        let mut gaps = Vec::new();
-        for _ in 0..rounds {
-            let n = owned.holder("test/0");
-            let of_work = |w: &Witness| w.rows().into_iter().filter(|r| r.work == "test/0" && r.done);
-            let token = of_work(&owned.witness).map(|r| r.token).max().unwrap_or(0);
-            let (one, rest) = (set([n]), owned.rig().links.rest(&set([n])));
-            let start = Instant::now();
-            match kind {
-                "kill" => owned.rig().kill(n),
-                "stop" => owned.rig().pause(n, true),
-                "cut" => owned.rig().links.cut(&one, &rest, true),
-                _ => owned.rig().terminate(n),
-            }
-            let next = loop {
-                let found = of_work(&owned.witness).find(|r| r.token > token).map(|r| r.at);
-                if let Some(at) = found {
-                    break at;
-                }
-                assert!(start.elapsed() < Duration::from_secs(60), "nobody takes it over");
-                std::thread::sleep(Duration::from_millis(10));
-            };
-            gaps.push(next.saturating_duration_since(start).as_millis());
-            match kind {
-                "stop" => owned.rig().pause(n, false),
-                "cut" => owned.rig().links.heal(),
-                _ => owned.rig().run(n),
+    let mut owned = owned(5, 3, true);
+    let mut gaps = Vec::new();
+    for _ in 0..rounds {
+        let n = owned.holder("test/0");
+        let of_work = |w: &Witness| w.rows().into_iter().filter(|r| r.work == "test/0" && r.done);
+        let token = of_work(&owned.witness).map(|r| r.token).max().unwrap_or(0);
+        let start = Instant::now();
+        match kind {
+            "kill" => owned.rig().kill(n),
+            "stop" => owned.rig().pause(n, true),
+            "cut" => owned.cut(n, "both ways"),
+            _ => owned.rig().terminate(n),
+        }
+        let next = loop {
+            let found = of_work(&owned.witness).find(|r| r.token > token).map(|r| r.at);
+            if let Some(at) = found {
+                break at;
             }
-            owned.rig().settles("it is back");
-            owned.all_owned("all is owned once");
+            assert!(start.elapsed() < Duration::from_secs(60), "nobody takes it over");
+            std::thread::sleep(Duration::from_millis(10));
+        };
+        gaps.push(next.saturating_duration_since(start).as_millis());
+        match kind {
+            "stop" => owned.rig().pause(n, false),
+            "cut" => owned.heal(),
+            _ => owned.rig().run(n),
         }
-        gaps.sort_unstable();
-        let changes = owned.checked();
-        println!("| {kind} | {rounds} | {} | {} | {changes} |", gaps[gaps.len() / 2], gaps[gaps.len() - 1]);
+        owned.rig().settles("it is back");
+        owned.all_owned("all is owned once");
     }
+    gaps.sort_unstable();
+    let changes = owned.checked();
+    println!("| {kind} | {rounds} | {} | {} | {changes} |", gaps[gaps.len() / 2], gaps[gaps.len() - 1]);
 }
