Renew no lease of an item that is already ordered away

Its events: the lease was over, the leader ordered the item to the next, and while that order was under way confirmed a claim of the first (keeper.rs confirmed asked the committed state only); the order was committed with the first one's lease running. Ruled out: the clocks (the same with equal ones, by reading) and late answers (counted from before they were asked). The stories with processes had not met it.

--- a/crates/fleet/src/owner/keeper.rs
+++ b/crates/fleet/src/owner/keeper.rs
@@ -62,7 +62,9 @@
     pub fn confirmed(&mut self, now: Micros, claim: &Claim, grants: &Grants) -> Claimed {
         let mut yours = Vec::new();
         for (work, grant) in grants.all() {
-            if grant.owner.as_ref() != Some(&claim.who) || self.drops.contains_key(work) {
+            // An item that was ordered away is its next owner's from whenever that is committed: no lease may reach past it.
+            let given_up = self.ordered.contains_key(work) || self.drops.contains_key(work);
+            if grant.owner.as_ref() != Some(&claim.who) || given_up {
                 continue;
             }
             self.until.insert(work.clone(), now + counted(self.lease));
@@ -119,9 +121,11 @@
         changes
     }
 
-    /// The orders that were under way came to nothing, or may have.
-    pub fn ordered_in_vain(&mut self) {
-        self.ordered.clear();
+    /// These were not taken into the log. Not for orders that may still be committed.
+    pub fn ordered_in_vain(&mut self, changes: &[Change]) {
+        for change in changes {
+            self.ordered.remove(&change.work);
+        }
     }
 }
 
--- a/crates/fleet/src/parcel.rs
+++ b/crates/fleet/src/parcel.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::member::MemberId;
-use crate::owner::{Claim, Claimed, Work};
+use crate::owner::{Claim, Claimed};
 use crate::quorum::Letter;
 
 /// The longest parcel: a snapshot of a full machine.
@@ -29,20 +29,6 @@
     Claim(Claim),
     /// The leader's answer.
     Claimed(Claimed),
-    /// Whose is the item, by a majority's word?
-    Whose {
-        /// The asker's number.
-        number: u64,
-        /// The item.
-        work: Work,
-    },
-    /// The answer: the item's present token, 0 where it was never granted.
-    Present {
-        /// The asker's number.
-        number: u64,
-        /// The token.
-        token: u64,
-    },
     /// The one that was asked does not lead.
     Elsewhere {
         /// The asker's number.
--- a/src/fleet/council.rs
+++ b/src/fleet/council.rs
@@ -206,7 +206,7 @@
         let order = Order { session: self.seat.who.start, seq: inner.seq, body: body(&changes) };
         let mut out = Vec::new();
         if voter.order(order, &mut out).is_err() {
-            keeper.ordered_in_vain();
+            keeper.ordered_in_vain(&changes);
         }
         self.carry_out(inner, now, out, parcels);
     }
@@ -249,7 +249,8 @@
                 inner.leader = leader;
                 inner.holder.asks_again(now);
             }
-            Note::Letter(_) | Note::Claim(_) | Note::Whose { .. } | Note::Present { .. } => {}
+            // One that speaks for another.
+            Note::Letter(_) | Note::Claim(_) => {}
         }
     }
 
