Take late answers of the resolver unless a later one came, and say once that it is silent

Cause: each question had a socket of its own for 250 ms (list/resolver.rs ask, exchange), so an answer that came after the next question met no socket: a resolver always 250 ms late or more told nothing, for ever, and neither log nor figures said so. Found by reading; ruled out: an older serial, a cut or spoilt answer, another id, a failure (tests/list.rs, they pass before too). Guarded: with only its own question closed overtaken_without_numbers takes lists of 1, 2, 1, 3, 2, 5 lines in place of 1 to 5. The stories' signals go out without a process for each (nix), and no program starts while a crossing is laid (socket2 for resets and short queues).

--- a/src/host.rs
+++ b/src/host.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::gateway::{Command, Gateway, Input};
 use crate::limits::Plan;
+use crate::list::resolver::Heard;
 use crate::operate::figures::Figures;
 use crate::operate::service::Service;
 use crate::operate::{Desk, View};
@@ -37,6 +38,8 @@
     pub service: Service,
     /// When the last list of servers came: before the first no call could go anywhere.
     pub listed: Option<Micros>,
+    /// When the resolver last told a list, new or not.
+    pub list_heard: Rc<Heard>,
 }
 
 impl Host {
@@ -51,6 +54,7 @@
             classes,
             service: Service::default(),
             listed: None,
+            list_heard: Rc::new(Heard::new(clock::now())),
         }
     }
 
@@ -68,6 +72,7 @@
             in_flight: self.gateway.open_calls() + self.gateway.standing_calls(),
             servers_known,
             servers_excluded,
+            list_silent_s: (clock::now().saturating_sub(self.list_heard.get()) / 1_000_000) as usize,
         }
     }
 
--- a/src/operate/figures.rs
+++ b/src/operate/figures.rs
@@ -18,6 +18,8 @@
     pub servers_known: usize,
     /// Those of them that get nothing now.
     pub servers_excluded: usize,
+    /// For how many seconds the resolver has told no list.
+    pub list_silent_s: usize,
 }
 
 impl Figures {
@@ -32,6 +34,7 @@
         self.in_flight += other.in_flight;
         self.servers_known += other.servers_known;
         self.servers_excluded += other.servers_excluded;
+        self.list_silent_s = self.list_silent_s.max(other.list_silent_s);
     }
 
     /// The text that a scraper reads.
@@ -47,6 +50,7 @@
             ("in_flight", "Calls taken and not yet ended.", self.in_flight),
             ("setup_servers_known", "Setup servers in the list.", self.servers_known),
             ("setup_servers_excluded", "Listed setup servers that get nothing now.", self.servers_excluded),
+            ("list_silent_seconds", "For how long the resolver has told no list.", self.list_silent_s),
         ];
         let mut text = String::new();
         for (name, help, of) in by_class {
@@ -101,6 +105,7 @@
             in_flight: 1,
             servers_known: 2,
             servers_excluded: 1,
+            list_silent_s: name.len(),
         };
         let mut sum = of("a", 2);
         sum.add(of("a", 3));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -79,7 +79,8 @@
 
 async fn follow_list(front: Shared, server: watch::Receiver<SocketAddr>, seq: u32) {
     let service = resolver::Service::Srv("_back._tcp.pool.lan.".to_string());
-    resolver::follow(server, service, Some(seq), |asked, serial, list| {
+    let heard = front.borrow().host.list_heard.clone();
+    resolver::follow(server, service, Some(seq), &heard, |asked, serial, list| {
         let mut front = front.borrow_mut();
         front.seq = serial.unwrap_or(front.seq);
         front.take_list(asked, ListScope::Whole, list);
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -130,7 +130,8 @@
     let follow = async {
         let service = resolver::Service::DnsSd(config.service.clone());
         let on_list = |asked, _, list| front.borrow_mut().take_list(asked, list);
-        resolver::follow(resolver, service, None, on_list).await;
+        let heard = front.borrow().host.list_heard.clone();
+        resolver::follow(resolver, service, None, &heard, on_list).await;
     };
     let tasks = async {
         tokio::join!(
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -5,7 +5,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use cobaltspool::list::resolver::{Service, follow};
+use cobaltspool::list::resolver::{Heard, Service, follow};
 use cobaltspool::list::{Directory, Listed};
 use cobaltspool::{ListScope, PoolId, ServerId, Status};
 use peers::*;
@@ -25,8 +25,9 @@
             tokio::task::yield_now().await;
         }
     };
+    let heard = Heard::default();
     tokio::select! {
-        () = follow(watch::channel(resolver.address).1, service, None, on_list) => {}
+        () = follow(watch::channel(resolver.address).1, service, None, &heard, on_list) => {}
         () = found => {}
         () = tokio::time::sleep(PATIENCE) => panic!("no such list came"),
     }
@@ -114,10 +115,53 @@
         resolver.change(0, |list| list.push(line("s-2", ([127, 0, 0, 1], 5072).into(), 2)));
         came(2).await;
     };
+    let heard = Heard::default();
     tokio::select! {
-        () = follow(told, service, None, on_list) => {}
+        () = follow(told, service, None, &heard, on_list) => {}
         () = story => {}
         () = tokio::time::sleep(PATIENCE) => panic!("no such list came"),
     }
     assert_eq!(*seen.borrow(), [1, 2], "sizes of the lists taken");
 }
+
+/// Answers that come after the next question are taken; one that comes after its successor's is not, though it has no number.
+#[rstest]
+#[case::late(Slip::Late, false)]
+#[case::late_without_numbers(Slip::Late, true)]
+#[case::overtaken(Slip::Overtaken, false)]
+#[case::overtaken_without_numbers(Slip::Overtaken, true)]
+#[tokio::test(flavor = "current_thread")]
+async fn a_late_answer_counts_unless_a_later_one_came(#[case] slip: Slip, #[case] unnumbered: bool) {
+    let mut resolver = Resolver::new(vec![line("s-1", ([127, 0, 0, 1], 5071).into(), 2)]).numbered(7);
+    if unnumbered {
+        resolver = resolver.unnumbered();
+    }
+    let seen = RefCell::new(Vec::new());
+    let service = Service::Srv("_back._tcp.pool.lan".into());
+    let told = watch::channel(resolver.address).1;
+    let on_list = |_, _, list: Vec<Listed>| seen.borrow_mut().push(list.len());
+    let story = async {
+        for (n, id) in (1..).zip(["s-2", "s-3", "s-4", "s-5", "s-6"]) {
+            while seen.borrow().len() < n {
+                tokio::task::yield_now().await;
+            }
+            resolver.slip(Some(slip));
+            // One question on the old list, the next on the new one.
+            tokio::task::spawn_blocking({
+                let resolver = resolver.clone();
+                move || resolver.asked_often(1)
+            })
+            .await
+            .unwrap();
+            let at = ([127, 0, 0, 1], 5072 + n as u16).into();
+            resolver.change(0, |list| list.push(line(id, at, 2)));
+        }
+    };
+    let heard = Heard::default();
+    tokio::select! {
+        () = follow(told, service, None, &heard, on_list) => {}
+        () = story => {}
+        () = tokio::time::sleep(PATIENCE) => panic!("no such list came: {:?}", seen.borrow()),
+    }
+    assert_eq!(*seen.borrow(), [1, 2, 3, 4, 5], "sizes of the lists taken");
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -10,15 +10,21 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::str::FromStr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use hickory_proto::op::{Message, ResponseCode};
 use hickory_proto::rr::rdata::{A, PTR, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 
+/// Held while a program starts. Between fork and exec a child has all descriptors of the test's process, and what is closed
+/// then has not ended for its peer.
+static STARTING: RwLock<()> = RwLock::new(());
+
 /// No step of a story takes longer, on however busy a machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -79,12 +85,14 @@
         for ((flag, _), file) in fronts.iter().zip(&files) {
             command.arg(flag).arg(&file.0);
         }
+        let alone = STARTING.write().unwrap_or_else(PoisonError::into_inner);
         let mut child = command
             .env_remove("LB_CONFIG")
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .expect("starts");
+        drop(alone);
         let log = BufReader::new(child.stderr.take().unwrap());
         Program { child, log, files, config: fronts[0].1.clone(), door: None }
     }
@@ -121,7 +129,7 @@
         Program::with_door_by(config)
     }
 
-    fn with_door_by(mut config: Value) -> (Program, SocketAddr, SocketAddr) {
+    pub fn with_door_by(mut config: Value) -> (Program, SocketAddr, SocketAddr) {
         config["ops"] = json!("127.0.0.1:0");
         let mut program = Program::start(&[("--config", config)]);
         let gate = program.served()[0];
@@ -218,19 +226,42 @@
     /// Replaces the operators' file, and sends SIGHUP.
     pub fn replace_ops(&self, ops: &Value) {
         std::fs::write(&self.files[1].0, ops.to_string()).unwrap();
-        self.signal("-HUP");
+        self.signal(Signal::SIGHUP);
     }
 
+    /// Stops it; nothing of it runs when this returns.
     pub fn pause(&self) {
-        self.signal("-STOP");
+        self.signal(Signal::SIGSTOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        eventually("it is stopped", || {
+            let stat = std::fs::read_to_string(&stat).unwrap();
+            stat.rsplit(')').next().unwrap().trim().starts_with('T').then_some(())
+        });
+    }
+
+    /// What `peers` do while it is stopped is in the kernel before any of it may run.
+    pub fn crossed<T>(&self, peers: impl FnOnce() -> T) -> T {
+        self.pause();
+        let none_starts = STARTING.read().unwrap_or_else(PoisonError::into_inner);
+        let done = peers();
+        drop(none_starts);
+        self.proceed();
+        done
+    }
+
+    /// A gatekeeper on the platform's protocol by this configuration.
+    pub fn by(config: Value) -> (Program, SocketAddr) {
+        let mut program = Program::start(&[("--config", config)]);
+        let address = program.served()[0];
+        (program, address)
     }
 
     pub fn proceed(&self) {
-        self.signal("-CONT");
+        self.signal(Signal::SIGCONT);
     }
 
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.signal(Signal::SIGTERM);
     }
 
     /// Replaces the first front's configuration file by one that names this resolver, and sends SIGHUP.
@@ -243,12 +274,16 @@
     /// Replaces the first front's configuration file by this text, and sends SIGHUP.
     pub fn replace(&self, text: &str) {
         std::fs::write(&self.files[0].0, text).unwrap();
-        self.signal("-HUP");
+        self.signal(Signal::SIGHUP);
     }
 
-    fn signal(&self, which: &str) {
-        let done = Command::new("kill").args([which, &self.child.id().to_string()]).status().unwrap();
-        assert!(done.success());
+    /// Sends SIGHUP; its files are as they were.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
+    fn signal(&self, which: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), which).unwrap();
     }
 
     /// Waits until it has logged this, and gives the line.
@@ -343,6 +378,9 @@
     lean: bool,
     /// Answers are no lists, for as long as this is so.
     slip: Option<Slip>,
+    /// An answer that is late.
+    held: Option<Vec<u8>>,
+    unnumbered: bool,
 }
 
 /// What is wrong with a resolver's answers.
@@ -356,6 +394,10 @@
     Short,
     /// They hold an empty list with an older number.
     Older,
+    /// They come when the next question has come.
+    Late,
+    /// They come late, and after the answer to the next question.
+    Overtaken,
 }
 
 /// The resolver.
@@ -377,6 +419,8 @@
             lose: 0,
             lean: false,
             slip: None,
+            held: None,
+            unnumbered: false,
         }));
         let shared = state.clone();
         thread::spawn(move || {
@@ -394,7 +438,15 @@
                 if state.told.last().is_none_or(|(s, _)| *s != serial) {
                     state.told.push((serial, Instant::now()));
                 }
-                let _ = socket.send_to(&answer, from);
+                let held = state.held.take();
+                match state.slip {
+                    Some(Slip::Late) => state.held = Some(answer),
+                    Some(Slip::Overtaken) if held.is_none() => state.held = Some(answer),
+                    _ => drop(socket.send_to(&answer, from)),
+                }
+                if let Some(held) = held {
+                    let _ = socket.send_to(&held, from);
+                }
             }
         });
         Resolver { address, state }
@@ -445,6 +497,12 @@
         }
     }
 
+    /// Its list has no number.
+    pub fn unnumbered(self) -> Resolver {
+        self.state.lock().unwrap().unnumbered = true;
+        self
+    }
+
     /// From now on tells nothing beyond what was asked for.
     pub fn lean(self) -> Resolver {
         self.state.lock().unwrap().lean = true;
@@ -471,10 +529,11 @@
             }
             Some(Slip::OtherId) => answer.metadata.id = answer.metadata.id.wrapping_add(1),
             Some(Slip::Older) => {
-                let older = State { serial: self.serial - 1, list: vec![], told: vec![], ..*self };
+                let older =
+                    State { serial: self.serial - 1, list: vec![], told: vec![], held: None, ..*self };
                 answer = older.answer(question);
             }
-            Some(Slip::Short) | None => {}
+            Some(Slip::Short | Slip::Late | Slip::Overtaken) | None => {}
         }
         let mut bytes = answer.to_vec().unwrap();
         if matches!(self.slip, Some(Slip::Short)) {
@@ -524,6 +583,9 @@
                 }
             }
         }
+        if self.unnumbered {
+            return answer;
+        }
         let soa = SOA::new(name("pool.lan."), name("pool.lan."), self.serial, 1, 1, 1, 1);
         answer.add_authority(Record::from_rdata(service, 0, RData::SOA(soa)));
         answer
@@ -571,6 +633,18 @@
         self.stream.write_all(bytes).unwrap();
     }
 
+    /// Ends the connection by a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
+    /// What comes until the connection has ended; fails the test if that is by a reset.
+    pub fn until_closed(&mut self) -> String {
+        let mut text = String::new();
+        self.input.read_to_string(&mut text).expect("it is closed in good order");
+        text
+    }
+
     /// The next line as it came; empty once the connection has ended.
     pub fn text(&mut self) -> String {
         let mut line = String::new();
@@ -578,6 +652,11 @@
         line
     }
 
+    /// The next message; `None` once the connection has ended.
+    pub fn next_message(&mut self) -> Option<Value> {
+        serde_json::from_str(&self.text()).ok()
+    }
+
     pub fn hear(&mut self) -> Value {
         let line = self.text();
         serde_json::from_str(&line).unwrap_or_else(|_| panic!("a message, not {line:?}"))
@@ -596,6 +675,23 @@
         self.expect("ECHOED");
     }
 
+    /// Proves, as a server, that all it has said so far was read: a late answer of an unknown call is released.
+    pub fn nothing_but_an_echo_of_its_own(&mut self) {
+        self.started(&json!("00000000000000ef"));
+        assert_eq!(self.expect("FINISH")["tag"], "00000000000000ef");
+    }
+
+    /// Reads until a message of this type comes for this call; others of other calls may come before it.
+    pub fn until(&mut self, verb: &str, tag: &str) -> Value {
+        loop {
+            let message = self.hear();
+            assert!(verb != message["verb"] || tag == message["tag"], "{message}");
+            if verb == message["verb"] {
+                return message;
+            }
+        }
+    }
+
     /// From now on says this again and again, until the connection ends.
     pub fn keeps_saying(&self, message: Value, every: Duration) {
         let mut out = self.stream.try_clone().unwrap();
@@ -640,6 +736,17 @@
     }
 }
 
+/// A listener for connections that read little ahead, of which so many wait to be accepted, and its address.
+pub fn listen_narrow(waiting: i32) -> (TcpListener, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(waiting).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
 /// A listener and its address.
 pub fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
