--- a/src/host.rs
+++ b/src/host.rs
@@ -20,7 +20,7 @@
 use crate::record::Record;
 
 /// What is queued at the end may take this long to be written.
-const LAST_WORDS: Duration = Duration::from_millis(150);
+const LAST_WORDS: Duration = Duration::from_millis(120);
 
 /// A front's core, with what surrounds it.
 pub struct Host {
@@ -43,8 +43,8 @@
 }
 
 impl Host {
-    /// A host for a new core.
-    pub fn new(gateway: Gateway, classes: Vec<String>) -> Self {
+    /// A host for a new core, with callers of whom none waits longer than `patience`.
+    pub fn new(gateway: Gateway, classes: Vec<String>, patience: Micros) -> Self {
         Host {
             gateway,
             record: Record::default(),
@@ -52,7 +52,7 @@
             commands: Vec::new(),
             wake: Rc::new(Notify::new()),
             classes,
-            service: Service::default(),
+            service: Service::of(patience),
             listed: None,
             list_heard: Rc::new(Heard::new(clock::now())),
         }
--- a/src/operate/service.rs
+++ b/src/operate/service.rs
@@ -10,9 +10,11 @@
 const TURN_AWAY: Micros = 1_200_000;
 /// After SIGTERM, set-ups keep coming for a while: new connections for 0.4 s, requests on open ones 0.2 s more.
 const STOP_LEAST: Micros = 850_000;
-/// Standing calls may go on this long after SIGTERM, and open ones a little longer: SIGKILL may come 3.7 s after
-/// it, however long callers wait.
+/// Standing calls may go on this long after SIGTERM, or as long as the most patient caller waits where that is less, and open
+/// ones a little longer: SIGKILL may come 0.7 s after that.
 const STOP_MOST: Micros = 3_000_000;
+/// How much longer open ones may go on; what is left of the 0.7 s is for the last words.
+const STOP_OPEN: Micros = 425_000;
 /// With a successor there is nothing to release and nothing to hurry for: open calls have their own deadlines, what
 /// is handed over has to be read, and callers have to leave, who are turned away at last.
 const SUCCEEDED_LEAST: Micros = 1_000_000;
@@ -30,9 +32,16 @@
     stopping: Option<Micros>,
     /// Another process takes clients at the same address.
     succeeded: bool,
+    /// How long the most patient caller waits; `None`: for long.
+    patience: Option<Micros>,
 }
 
 impl Service {
+    /// For callers of whom none waits longer than this.
+    pub fn of(patience: Micros) -> Service {
+        Service { patience: Some(patience).filter(|p| *p > 0), ..Service::default() }
+    }
+
     /// The operators say whether it is to be out of service. The same again changes nothing.
     pub fn order(&mut self, now: Micros, out: bool) {
         self.out = out.then(|| self.out.unwrap_or(now));
@@ -67,9 +76,10 @@
             let left = callers == 0 || gone >= SUCCEEDED_CALLERS;
             return gone >= SUCCEEDED_LEAST && open + standing == 0 && left || gone >= SUCCEEDED_MOST;
         }
-        gone >= STOP_LEAST && open + standing == 0
-            || gone >= STOP_MOST && open == 0
-            || gone >= STOP_MOST + STOP_LEAST / 2
+        let most = self.patience.unwrap_or(STOP_MOST).min(STOP_MOST);
+        gone >= STOP_LEAST.min(most + STOP_OPEN) && open + standing == 0
+            || gone >= most && gone >= STOP_LEAST.min(most + STOP_OPEN) && open == 0
+            || gone >= most + STOP_OPEN
     }
 
     /// Clients are welcome.
--- a/src/platform/line.rs
+++ b/src/platform/line.rs
@@ -13,7 +13,7 @@
 
 use crate::LoadReport;
 
-/// The longest line, its end included.
+/// The longest line, without its end.
 pub const LINE_BYTES: usize = 16 * 1024;
 
 /// A call's name on the wire: 16 hex digits, kept as they came.
@@ -234,7 +234,7 @@
 pub fn next(buffer: &mut BytesMut, seen: &mut usize) -> Next {
     loop {
         let end = buffer[*seen..].iter().position(|b| *b == b'\n').map(|n| n + *seen);
-        if end.unwrap_or(buffer.len()) >= LINE_BYTES {
+        if end.unwrap_or(buffer.len()) > LINE_BYTES {
             return Next::Broken;
         }
         let Some(end) = end else {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -91,11 +91,11 @@
 impl Front {
     fn start(config: &Config, plan: Option<Rc<Plan>>) -> Shared {
         let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
-        let host =
-            Host::new(Gateway::with(config.settings.clone(), limits, config.seed), config.classes.clone());
+        let longest_wait = config.patience.iter().copied().max().unwrap_or(0);
+        let gateway = Gateway::with(config.settings.clone(), limits, config.seed);
+        let host = Host::new(gateway, config.classes.clone(), longest_wait);
         let record = host.record.clone();
         let classes = config.classes.clone();
-        let longest_wait = config.patience.iter().copied().max().unwrap_or(0);
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
                 host,
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -148,8 +148,8 @@
 impl Front {
     fn start(config: &SipConfig, plan: Option<Rc<Plan>>, transport: Transport) -> Shared {
         let limits = Live::of(plan, &config.settings, &config.classes, config.seed);
-        let host =
-            Host::new(Gateway::with(config.settings.clone(), limits, config.seed), config.classes.clone());
+        let gateway = Gateway::with(config.settings.clone(), limits, config.seed);
+        let host = Host::new(gateway, config.classes.clone(), config.wait);
         Rc::new_cyclic(|me| {
             RefCell::new(Front {
                 host,
