Hear before writing, take back what has not gone out, close and exit over nothing unread

What may be written was decided when it was queued. Now a queued message has a ticket and is taken back while the system has none of it: from a caller that leaves, from a server that drains, from a connection that ends (it never ran). 2. Reading comes first; ticks, new connections and connections that take more again wait for one turn of the loop. 3. A connection closed for want of use, or to make way, swallowed the set-up that was there (clients.rs set_up; a_set_up_that_comes_before_our_close_is_taken, a_set_up_on_a_connection_that_makes_way_is_taken). What was said before such a close keeps the connection open. 4. The exit closed over unread bytes and a queue of connections, which resets them (host.rs run; an_exit_answers_what_came_since_the_last_look). 6. A server back under its id within 0.5 s of its end: its new calls counted as cut with the old ones (servers.rs care_for_servers, sip the same; a_server_that_goes_and_returns_keeps_its_new_calls). Ruled out by tests that pass before too: leaving in the module, late and second answers, nonsense and floods from servers, SIGTERM with set-ups unread, queued and half read.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,6 +20,10 @@
         // never reports answers of attempts that were given up; it releases them where they come in.
         let Some((State::Open(_), at)) = self.held(attempt) else { return };
         let call = attempt.call;
+        if self.book.get(call).is_some_and(|entry| self.now >= entry.due) {
+            // Its caller's time ended in the same turn: whichever is seen first, nobody waits for it any more.
+            return self.time_out(call, at, out);
+        }
         if self.book.answer(call) {
             out.push(Command::Answer { call, description });
             let took = self.now.saturating_sub(at.sent);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -19,6 +19,8 @@
         let number = entry.attempts;
         let fault = if held.is_some() {
             Some("another attempt is out")
+        } else if now >= entry.due {
+            Some("its caller waits no longer")
         } else if now < entry.wait_until {
             Some("the release wait is not over")
         } else if self.set.max_attempts > 0 && number >= self.set.max_attempts
--- a/src/host.rs
+++ b/src/host.rs
@@ -21,6 +21,10 @@
 
 /// What is queued at the end may take this long to be written.
 const LAST_WORDS: Duration = Duration::from_millis(120);
+/// What was queued at a listener when it closed is read and answered within this.
+const LAST_CALLERS: Duration = Duration::from_millis(50);
+/// A connection that is closed has ended after so many turns of the loop; it waits for nobody.
+const ENDS_WITHIN: usize = 64;
 
 /// A front's core, with what surrounds it.
 pub struct Host {
@@ -95,6 +99,13 @@
         0
     }
 
+    /// The listener closes; what is queued there is still taken.
+    fn stop_listening(&mut self) {}
+
+    /// Every connection of a caller ends, once what is queued on it has been written. What crosses that end finds a
+    /// connection that was closed in good order.
+    fn close_callers(&mut self) {}
+
     /// Carries one of the core's commands out. What comes of it for the core goes to [`Host::inputs`].
     fn carry_out(&mut self, command: Command);
 
@@ -210,10 +221,24 @@
         _ = tasks => {}
         () = told => {}
         () = ordered => {}
-        () = keep_time(&front) => {}
+        () = async { keep_time(&front).await; say_last_words(&front).await } => {}
         () = follow_fleet(&front, desk.fleet_seen()) => {}
     }
+}
+
+/// All calls have ended; what is queued is written, and what still comes is turned away, until the last connection is
+/// closed. Guards against an exit over what is unread: it resets connections and queues, and nobody is told.
+async fn say_last_words<F: Front>(front: &RefCell<F>) {
     tokio::time::sleep(LAST_WORDS).await;
+    front.borrow_mut().stop_listening();
+    tokio::time::sleep(LAST_CALLERS).await;
+    front.borrow_mut().close_callers();
+    for _ in 0..ENDS_WITHIN {
+        if front.borrow().callers() == 0 {
+            break;
+        }
+        tokio::task::yield_now().await;
+    }
 }
 
 /// Gives the core its ticks; returns once the front has stopped.
@@ -238,5 +263,7 @@
             () = tokio::time::sleep(wait) => {}
             () = wake.notified() => {}
         }
+        // Whoever has left by now is heard first: what waited for this moment goes out for those who are still there.
+        tokio::task::yield_now().await;
     }
 }
--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -1,7 +1,7 @@
 //! The callers' side: connections in, set-ups and releases from them, answers and releases to them.
 
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::gateway::{Input, SetUp};
 use crate::host::Front as _;
-use crate::link::{self, Outbox};
+use crate::link::{self, Outbox, Ticket};
 use crate::operate::handover::Word;
 use crate::record::{Record, Step};
 use crate::{CallId, Micros, Number, PoolId};
@@ -59,8 +59,8 @@
     peer: IpAddr,
     /// Calls set up on it and not answered yet: its end gives them up.
     open: BTreeSet<CallId>,
-    /// Calls set up on it that stand: their releases go out on it first.
-    stand: BTreeSet<CallId>,
+    /// Calls set up on it that stand, and the answers that said so: their releases go out on it first.
+    stand: BTreeMap<CallId, Ticket>,
     opened: Micros,
     /// When a set-up was last taken on it, or answered; `None`: never.
     used: Option<Micros>,
@@ -74,8 +74,9 @@
 struct Release {
     call: CallId,
     peer: IpAddr,
-    /// When it was last written to a connection.
+    /// When it was last queued at a connection, and as what.
     told: Micros,
+    ticket: Option<Ticket>,
     until: Micros,
     completed: bool,
     message: Vec<u8>,
@@ -86,14 +87,15 @@
         let cause = if completed { cause::NORMAL } else { cause::TEMPORARY_FAILURE };
         let message = encode("FINISH", tag, &[], Some(cause), None);
         let now = clock::now();
-        Release { call, peer, told: now, until: now + OWED, completed, message }
+        Release { call, peer, told: now, ticket: None, until: now + OWED, completed, message }
     }
 }
 
 impl ClientLink {
-    /// It may be closed: nothing is open on it, and it is not closing already.
+    /// It may be closed: nothing is open on it, everything was written that its peer is to have, and it is not closing
+    /// already.
     fn may_close(&self) -> bool {
-        self.open.is_empty() && self.outbox.is_open()
+        self.open.is_empty() && self.outbox.is_empty() && self.outbox.is_open()
     }
 }
 
@@ -162,7 +164,7 @@
     }
 }
 
-async fn serve(front: Shared, stream: TcpStream, peer: IpAddr) {
+async fn serve(front: Shared, mut stream: TcpStream, peer: IpAddr) {
     let outbox = Rc::new(Outbox::default());
     let id = front.borrow_mut().new_link();
     let opened = clock::now();
@@ -170,7 +172,7 @@
         outbox: outbox.clone(),
         peer,
         open: BTreeSet::new(),
-        stand: BTreeSet::new(),
+        stand: BTreeMap::new(),
         opened,
         used: None,
         telling: HashMap::new(),
@@ -178,8 +180,9 @@
     };
     front.borrow_mut().clients.add(id, link);
     let on_line = |line: Line| front.borrow_mut().client_says(id, line);
-    let _ = link::run(stream, outbox, WHOLE, reader(on_line), || {}).await;
+    let _ = link::run(&mut stream, &outbox, WHOLE, reader(on_line), || {}).await;
     front.borrow_mut().client_left(id);
+    outbox.last_words(&stream);
 }
 
 impl Front {
@@ -218,7 +221,7 @@
     }
 
     fn set_up(&mut self, id: LinkId, tag: Tag, line: Line) {
-        if !self.clients.links.get(&id).is_some_and(|l| l.outbox.is_open()) {
+        if !self.clients.links.get(&id).is_some_and(|l| l.outbox.stay_open()) {
             // It crosses our close: its caller sends it again on another connection, so here nothing may be sent on
             // (found in the story of ten upgrades: one set-up in some 50,000 went out by both processes).
             return;
@@ -245,7 +248,17 @@
             self.clients.forget(call);
             self.feed(Input::GivenUp(call));
         }
-        self.clients.tell_again(id, link.telling, link.confirms);
+        for (call, answer) in link.stand {
+            // Guards against a caller's leaving that crosses the answer in our outbox: nobody will ever read it, so what
+            // stands is released now.
+            if !link.outbox.has_written(answer) {
+                if !link.outbox.take_back(answer) {
+                    link.outbox.clear();
+                }
+                self.caller_ends(call);
+            }
+        }
+        self.clients.tell_again(id, link.telling, link.confirms, &link.outbox);
     }
 }
 
@@ -303,7 +316,7 @@
         let Some(link) = idle.min_by_key(|l| (l.used.is_some(), l.used.unwrap_or(l.opened))) else {
             return false;
         };
-        link.outbox.close();
+        link.outbox.close_unused();
         true
     }
 
@@ -314,7 +327,14 @@
         let paused = |l: &ClientLink| now >= l.used.unwrap_or(l.opened) + PAUSE;
         let idle = |l: &&ClientLink| l.may_close() && l.stand.is_empty() && paused(l) && !telling(l);
         for link in self.links.values().filter(idle) {
-            link.outbox.close();
+            link.outbox.close_unused();
+        }
+    }
+
+    /// Closes every connection; what comes before its end is still turned away in words.
+    pub(super) fn close_all(&mut self) {
+        for link in self.links.values() {
+            link.outbox.close_unused();
         }
     }
 
@@ -328,7 +348,7 @@
         self.let_go(now);
         let useless = |l: &&ClientLink| l.used.is_none() && l.may_close() && now > l.opened + NO_USE;
         for link in self.links.values().filter(useless) {
-            link.outbox.close();
+            link.outbox.close_unused();
         }
     }
 
@@ -377,10 +397,13 @@
     pub(super) fn answer(&mut self, call: CallId, description: &[u8]) {
         let Some(caller) = self.calls.get(&call) else { return };
         let (id, message) = (caller.link, encode("STARTED", caller.tag, &[], None, Some(description)));
-        self.write(id, &message);
+        let ticket = self.write(id, &message);
         if let Some(link) = self.links.get_mut(&id) {
-            link.open.remove(&call);
-            link.stand.insert(call);
+            // Where the connection takes nothing more, its end gives the call up with all that is still open on it.
+            if let Some(ticket) = ticket {
+                link.open.remove(&call);
+                link.stand.insert(call, ticket);
+            }
         }
         self.was_used(id);
     }
@@ -447,7 +470,7 @@
         if let Some(release) = left {
             if let Some(successor) = &self.successor {
                 let (peer, completed) = (release.peer, release.completed);
-                if successor.push(&Word::Owed { tag: tag.to_string(), peer, completed }.line()) {
+                if successor.push(&Word::Owed { tag: tag.to_string(), peer, completed }.line()).is_some() {
                     return;
                 }
             }
@@ -458,9 +481,11 @@
 
     /// Writes a release to a connection, where it is owed until it is heard; gives it back if that cannot be.
     fn tell(&mut self, id: LinkId, tag: Tag, mut release: Release) -> Option<Release> {
-        let Some(link) = self.links.get_mut(&id).filter(|l| l.outbox.push(&release.message)) else {
+        let Some(link) = self.links.get_mut(&id) else { return Some(release) };
+        release.ticket = link.outbox.push(&release.message);
+        if release.ticket.is_none() {
             return Some(release);
-        };
+        }
         release.told = clock::now();
         self.record.note(release.told, release.call, Step::TellOn(id));
         link.telling.insert(tag, release);
@@ -482,12 +507,13 @@
 
     /// A connection has ended with these releases on it, unheard. Guards against a release that crosses the caller's
     /// close: it was in our outbox, or on its way, and counted as told.
-    fn tell_again(&mut self, id: LinkId, telling: HashMap<Tag, Release>, confirms: bool) {
+    fn tell_again(&mut self, id: LinkId, telling: HashMap<Tag, Release>, confirms: bool, outbox: &Outbox) {
         let now = clock::now();
         for (tag, release) in telling {
             self.telling.remove(&tag);
             // A peer that never confirms is not told twice what it had the time to read.
-            if confirms || now < release.told + UNREAD {
+            let written = release.ticket.is_some_and(|ticket| outbox.has_written(ticket));
+            if confirms || !written || now < release.told + UNREAD {
                 self.record.note(now, release.call, Step::Unheard(id));
                 self.owe(id, tag, release);
             }
@@ -559,8 +585,8 @@
         Some(caller)
     }
 
-    fn write(&mut self, id: LinkId, message: &[u8]) -> bool {
-        self.links.get(&id).is_some_and(|link| link.outbox.push(message))
+    fn write(&mut self, id: LinkId, message: &[u8]) -> Option<Ticket> {
+        self.links.get(&id)?.outbox.push(message)
     }
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -131,6 +131,13 @@
         let now = clock::now();
         self.host.listed = Some(now);
         let (entries, changes) = self.directory.learn(scope, list);
+        for server in self.directory.servers().collect::<Vec<_>>() {
+            // It is another process: what the one before held is cut, and nothing of what comes now. Guards against the end
+            // of the old one's last releases taking the new one's calls with it.
+            if let Some(at) = self.servers.returned(server) {
+                self.feed(Input::Lost { server, at });
+            }
+        }
         self.feed(Input::List { told, scope, entries });
         for server in &changes.closed {
             tracing::info!(server = self.directory.name(*server), "takes nothing new");
@@ -157,6 +164,14 @@
         self.clients.count()
     }
 
+    fn stop_listening(&mut self) {
+        self.listens.send_replace(false);
+    }
+
+    fn close_callers(&mut self) {
+        self.clients.close_all();
+    }
+
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send { attempt, server, left, description } => {
@@ -165,6 +180,7 @@
             Command::GiveUp { attempt, .. } => self.servers.give_up(attempt),
             Command::Release { attempt, server } => self.release(attempt, server),
             Command::Answer { call, description } => {
+                self.servers.stands(call);
                 self.clients.answer(call, &description);
                 self.hand_over();
             }
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -1,6 +1,6 @@
 //! The setup servers' side: connections out, set-ups on them, and what comes back.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::gateway::{AttemptId, Input};
 use crate::host::Front as _;
-use crate::link::{self, Outbox};
+use crate::link::{self, Outbox, Ticket};
 use crate::operate::handover::Word;
 use crate::record::Step;
 use crate::{CallId, Cause, LoadReport, Micros, Outcome, ServerId};
@@ -79,12 +79,12 @@
     outbox: Rc<Outbox>,
     up: bool,
     held: Vec<Held>,
-    /// Set-ups sent on it and not answered yet.
-    open: HashSet<Tag>,
+    /// Set-ups queued or written on it and not answered yet. What was not begun to be written may be taken back.
+    open: HashMap<Tag, Ticket>,
     /// Since when something has been awaited and nothing heard.
     silent_since: Option<Micros>,
-    /// Where set-ups end in its outbox that are not written whole yet, and their classes.
-    writing: VecDeque<(u64, usize)>,
+    /// Set-ups that are not written whole yet, and their classes.
+    writing: VecDeque<(Ticket, usize)>,
     /// Set-ups given up on it, whose answers may still come.
     given_up: VecDeque<(Micros, Tag)>,
     /// Releases written on it that the server has not said it heard.
@@ -138,7 +138,8 @@
     /// Servers on whose ended connections ends of calls may have been lost. A connection that is dialled at this time or
     /// later hears them again.
     unheard: BTreeMap<ServerId, Micros>,
-    gone: BTreeMap<ServerId, Micros>,
+    /// When servers were told to be gone, and when their calls count as cut.
+    gone: BTreeMap<ServerId, (Micros, Micros)>,
 }
 
 impl ServerLink {
@@ -156,17 +157,30 @@
         self.silent_since.get_or_insert(now);
     }
 
+    /// Takes a set-up back that its server has nothing of; false if it may have some.
+    fn take_back(&mut self, tag: Tag) -> bool {
+        let Some(ticket) = self.open.get(&tag).copied().filter(|ticket| self.outbox.take_back(*ticket))
+        else {
+            return false;
+        };
+        self.open.remove(&tag);
+        self.writing.retain(|(t, _)| *t != ticket);
+        true
+    }
+
     fn gave_up(&self, tag: Tag, now: Micros) -> bool {
         self.given_up.iter().any(|(at, t)| *t == tag && now < at + ECHO_OF_OLD)
     }
 }
 
 async fn run_link(front: Shared, id: LinkId, address: SocketAddr, dial: Duration, outbox: Rc<Outbox>) {
-    let stream = match tokio::time::timeout(dial, TcpStream::connect(address)).await {
+    let mut stream = match tokio::time::timeout(dial, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return front.borrow_mut().dial_failed(id, Some(e.kind())),
         Err(_) => return front.borrow_mut().dial_failed(id, None),
     };
+    // Whoever has left by now is heard before what waited for this connection goes out.
+    tokio::task::yield_now().await;
     front.borrow_mut().link_up(id);
     tracing::debug!(target: "link", id, %address, "a server's connection is up");
     let on_line = |line: Line| {
@@ -178,7 +192,7 @@
         front.count_written(id);
         front.servers.flush(id);
     };
-    let ended = link::run(stream, outbox, WHOLE, reader(on_line), on_drained).await;
+    let ended = link::run(&mut stream, &outbox, WHOLE, reader(on_line), on_drained).await;
     tracing::debug!(target: "link", id, %address, ?ended, "a server's connection has ended");
     front.borrow_mut().link_ended(id);
 }
@@ -270,7 +284,7 @@
             outbox: outbox.clone(),
             up: false,
             held: Vec::new(),
-            open: HashSet::new(),
+            open: HashMap::new(),
             silent_since: None,
             writing: VecDeque::new(),
             given_up: VecDeque::new(),
@@ -347,7 +361,9 @@
     /// Counts the set-ups whose last byte the system has taken.
     fn count_written(&mut self, id: LinkId) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
-        while let Some((_, class)) = link.writing.front().filter(|(end, _)| *end <= link.outbox.written()) {
+        while let Some((_, class)) =
+            link.writing.front().filter(|(ticket, _)| link.outbox.has_written(*ticket))
+        {
             self.host.gateway.attempt_written(*class);
             link.writing.pop_front();
         }
@@ -374,10 +390,12 @@
                 self.send_release(link.server, tag);
             }
         }
-        for tag in link.open {
+        for (tag, ticket) in std::mem::take(&mut link.open) {
+            // What was not begun to be written has never run, and need not wait to go out again.
+            let outcome = if link.outbox.take_back(ticket) { Outcome::Unreachable } else { Outcome::Cut };
             let slot = self.servers.slots.get(&(link.server, tag));
             if let Some(slot) = slot.filter(|s| s.link == id && !s.stands) {
-                self.end_attempt(slot.attempt, Outcome::Cut, Cause::Untold, LoadReport::default());
+                self.end_attempt(slot.attempt, outcome, Cause::Untold, LoadReport::default());
             }
         }
         self.return_held(link.server, link.held);
@@ -397,9 +415,11 @@
         }
     }
 
-    /// A server takes nothing new: set-ups that still wait for a connection to it must not reach it.
+    /// A server takes nothing new: set-ups that still wait for a connection to it, or in an outbox that it does not read,
+    /// must not reach it.
     pub(super) fn withdraw_held(&mut self, server: ServerId) {
         let mut attempts = Vec::new();
+        let slots = &self.servers.slots;
         for link in self.servers.links.values_mut().filter(|l| l.server == server) {
             link.held.retain(|item| match item {
                 Held::SetUp { attempt, .. } => {
@@ -408,6 +428,10 @@
                 }
                 _ => true,
             });
+            for tag in link.open.keys().copied().collect::<Vec<_>>() {
+                let slot = slots.get(&(server, tag)).filter(|_| link.take_back(tag));
+                attempts.extend(slot.map(|slot| slot.attempt));
+            }
         }
         for attempt in attempts {
             self.end_attempt(attempt, Outcome::Unreachable, Cause::Untold, LoadReport::default());
@@ -465,13 +489,13 @@
     }
 
     fn server_answers(&mut self, id: LinkId, server: ServerId, tag: Tag, line: Line) {
-        let slot = self.servers.slots.get_mut(&(server, tag)).filter(|s| s.stands || s.link == id);
+        let slot = self.servers.slots.get(&(server, tag)).filter(|s| s.stands || s.link == id);
         match slot {
             Some(slot) if slot.stands => {} // it says so twice
             Some(slot) => {
-                slot.stands = true;
                 let attempt = slot.attempt;
                 let description = line.blob.unwrap_or_else(|| Bytes::from_static(b"\"\""));
+                // The core may find that its time is over: then it is given up in here.
                 self.feed(Input::Stands { attempt, description });
             }
             None => {
@@ -533,7 +557,7 @@
             self.feed(Input::Load { server, answered: false, load: LoadReport::default() });
         }
         let gone: Vec<ServerId> =
-            self.servers.gone.iter().filter(|(_, at)| now >= **at).map(|(s, _)| *s).collect();
+            self.servers.gone.iter().filter(|(_, (_, at))| now >= *at).map(|(s, _)| *s).collect();
         for server in gone {
             self.servers.gone.remove(&server);
             self.feed(Input::Lost { server, at: now });
@@ -636,20 +660,28 @@
         }
     }
 
-    /// Writes what is held for a connection, as long as its peer reads.
+    /// Queues what is held for a connection, as long as its peer reads.
     fn flush(&mut self, id: LinkId) {
         let now = clock::now();
-        let Some(link) = self.links.get_mut(&id).filter(|l| l.up && l.outbox.is_empty()) else { return };
+        let ready = |l: &&mut ServerLink| l.up && l.outbox.is_empty() && l.outbox.is_open();
+        let Some(link) = self.links.get_mut(&id).filter(ready) else { return };
         for item in std::mem::take(&mut link.held) {
             let message = match item {
+                // Its time is over, and the core is about to find out: it is not sent on any more.
+                Held::SetUp { until, .. } if until <= now => {
+                    link.held.push(item);
+                    continue;
+                }
                 Held::SetUp { until, tag, class: (class, text), key, blob, .. } => {
-                    link.open.insert(tag);
                     link.awaits(now);
                     let left = format!("\"{}\"", until.saturating_sub(now) / 1000);
                     let opts = [("class", &*text), ("left", &*left), ("key", &*key)];
                     let message = encode("START", tag, &opts, None, Some(&blob));
-                    link.writing.push_back((link.outbox.end() + message.len() as u64, class));
-                    message
+                    if let Some(ticket) = link.outbox.push(&message) {
+                        link.open.insert(tag, ticket);
+                        link.writing.push_back((ticket, class));
+                    }
+                    continue;
                 }
                 Held::Probe(tag) => {
                     link.awaits(now);
@@ -682,7 +714,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         let before = link.held.len();
         link.held.retain(|item| !matches!(item, Held::SetUp { attempt: a, .. } if *a == attempt));
-        if link.held.len() == before {
+        if link.held.len() == before && !link.take_back(tag) {
             let now = clock::now();
             link.open.remove(&tag);
             link.given_up.retain(|(at, _)| now < at + ECHO_OF_OLD);
@@ -691,6 +723,14 @@
         }
     }
 
+    /// A call's attempt stands.
+    pub(super) fn stands(&mut self, call: CallId) {
+        let slot = self.by_call.get(&call).and_then(|key| self.slots.get_mut(key));
+        if let Some(slot) = slot {
+            slot.stands = true;
+        }
+    }
+
     /// Where a call has something, and under which name.
     pub(super) fn place(&self, call: CallId) -> Option<(ServerId, Tag)> {
         self.by_call.get(&call).copied()
@@ -728,13 +768,21 @@
 
     /// Nothing of a server is left but, maybe, releases on their way.
     pub(super) fn gone(&mut self, server: ServerId, now: Micros) {
-        self.gone.insert(server, now + LAST_RELEASES);
+        self.gone.insert(server, (now, now + LAST_RELEASES));
         self.owed.remove(&server);
         self.unheard.remove(&server);
         self.rhythms.remove(&server);
         self.redials.remove(&server);
     }
 
+    /// When a server was told to be gone that is listed again before its calls have counted as cut. Its connections of
+    /// before get nothing new.
+    pub(super) fn returned(&mut self, server: ServerId) -> Option<Micros> {
+        let (told, _) = self.gone.remove(&server)?;
+        self.retire(server);
+        Some(told)
+    }
+
     fn has_standing(&self, server: ServerId) -> bool {
         self.slots.iter().any(|((s, _), slot)| *s == server && slot.stands)
     }
--- a/src/platform/sibling.rs
+++ b/src/platform/sibling.rs
@@ -115,7 +115,7 @@
     }
 }
 
-async fn speak(front: Shared, stream: UnixStream, role: Role) {
+async fn speak(front: Shared, mut stream: UnixStream, role: Role) {
     let outbox = Rc::new(Outbox::default());
     front.borrow_mut().met(outbox.clone(), role);
     let on_bytes = |buffer: &mut BytesMut| {
@@ -129,7 +129,8 @@
         buffer.len() < LINE_BYTES
     };
     let on_drained = || front.borrow_mut().hand_over();
-    let _ = link::run(stream, outbox.clone(), WHOLE, on_bytes, on_drained).await;
+    let _ = link::run(&mut stream, &outbox, WHOLE, on_bytes, on_drained).await;
+    outbox.last_words(&stream);
     front.borrow_mut().sibling_left(&outbox);
 }
 
@@ -313,7 +314,7 @@
             class: self.clients.class_name(caller.class).to_string(),
             peer: caller.peer,
         });
-        if outbox.push(&word.line()) {
+        if outbox.push(&word.line()).is_some() {
             self.servers.forget(call);
             self.clients.forget(call);
             self.feed(Input::HandedOver(call));
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -102,7 +102,8 @@
     callers: HashMap<CallId, Caller>,
     legs: BTreeMap<AttemptId, Leg>,
     probes: BTreeMap<ServerId, Micros>,
-    gone: BTreeMap<ServerId, Micros>,
+    /// When servers were told to be gone, and when their calls count as cut.
+    gone: BTreeMap<ServerId, (Micros, Micros)>,
     next_call: u64,
     names: u64,
     me: Weak<RefCell<Front>>,
@@ -192,6 +193,12 @@
         let scope = ListScope::Whole;
         self.host.listed = Some(now);
         let (entries, changes) = self.directory.learn(scope, list);
+        for server in self.directory.servers().collect::<Vec<_>>() {
+            // It is another process: what the one before held is cut, and nothing of what comes now.
+            if let Some((at, _)) = self.gone.remove(&server) {
+                self.lost(server, at);
+            }
+        }
         self.feed(Input::List { told, scope, entries });
         for server in &changes.closed {
             tracing::info!(server = self.directory.name(*server), "takes nothing new");
@@ -201,7 +208,7 @@
             self.lost(*server, *at);
         }
         for server in &changes.gone {
-            self.gone.insert(*server, now + servers::LAST_RELEASES);
+            self.gone.insert(*server, (now, now + servers::LAST_RELEASES));
         }
     }
 
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -211,6 +211,10 @@
     /// Gives an attempt up. Its INVITE is repeated no more; CANCEL follows once there is something to cancel.
     pub(super) fn give_up(&mut self, attempt: AttemptId) {
         let Some(leg) = self.legs.get(&attempt).filter(|l| !l.over) else { return };
+        if leg.dialog.is_some() {
+            // Its answer and its time-out came in the same turn: what stands is ended.
+            return self.release(attempt);
+        }
         let key = (leg.branch.clone(), "INVITE".to_string());
         if self.transport.withdraw(&key.0) {
             self.client_txns.remove(&key);
@@ -405,7 +409,7 @@
         for attempt in old {
             self.drop_leg(attempt);
         }
-        let gone: Vec<ServerId> = self.gone.iter().filter(|(_, at)| due(at)).map(|(s, _)| *s).collect();
+        let gone: Vec<ServerId> = self.gone.iter().filter(|(_, (_, at))| due(at)).map(|(s, _)| *s).collect();
         for server in gone {
             self.gone.remove(&server);
             self.lost(server, now);
--- a/src/sip/transport.rs
+++ b/src/sip/transport.rs
@@ -185,7 +185,7 @@
     }
 }
 
-async fn run(front: Shared, id: ConnId, stream: TcpStream) {
+async fn run(front: Shared, id: ConnId, mut stream: TcpStream) {
     let Some((outbox, address)) =
         front.borrow().transport.conns.get(&id).map(|c| (c.outbox.clone(), c.address))
     else {
@@ -205,7 +205,8 @@
         }
     };
     let on_drained = || front.borrow_mut().transport.flush(id);
-    let _ = link::run(stream, outbox, WHOLE, on_bytes, on_drained).await;
+    let _ = link::run(&mut stream, &outbox, WHOLE, on_bytes, on_drained).await;
+    outbox.last_words(&stream);
     front.borrow_mut().conn_ended(id, true);
 }
 
