--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,6 +3,7 @@
 
 mod peers;
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -580,6 +581,58 @@
     }
 }
 
+/// SIGHUP names another resolver while a question to the old one is out: the old one's answer, which is there first, and the new
+/// one's count by their numbers, whichever is read first.
+#[rstest]
+fn a_resolver_moves_while_a_question_is_out(#[values(true, false)] old_is_newer: bool) {
+    let (one, one_at) = listen();
+    let (two, two_at) = listen();
+    let old = Resolver::new(vec![line("s-1", one_at, 0)]).numbered(5);
+    let (program, gate) = Program::platform(&old, settings());
+    let _far = Lines::accept(&one);
+    let numbered = if old_is_newer { 6 } else { 8 };
+    let new = Resolver::new(vec![line(
+        if old_is_newer { "s-1" } else { "s-2" },
+        if old_is_newer { one_at } else { two_at },
+        0,
+    )])
+    .numbered(numbered);
+    old.slip(Some(Slip::Late)); // a question is out from here on
+    old.asked_often(1);
+    program.crossed(|| {
+        old.change(0, |list| *list = vec![line("s-2", two_at, 0)]);
+        old.change(0, |_| {});
+        program.reload(new.address);
+    });
+    if old_is_newer {
+        new.asked_often(3);
+        new.change(0, |list| *list = vec![line("s-2", two_at, 0)]);
+        new.change(0, |_| {});
+    }
+    let mut far = Lines::accept(&two);
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 9000, 0);
+    assert_eq!(far.expect("START")["tag"], TAG);
+}
+
+/// A list that empties leaves no server: a set-up gets its one answer in its time, and the next list is served.
+#[test]
+fn a_list_that_empties_and_fills_again() {
+    let (_server, resolver, _program, _far, gate) = gatekeeper();
+    let (other, other_at) = listen();
+    let gone = resolver.change(0, |list| list.clear());
+    resolver.told(gone);
+    resolver.asked_often(1); // the list has been taken
+    let mut caller = Lines::connect(gate);
+    caller.start(TAG, 1_000, 0);
+    let last = caller.expect("FINISH");
+    assert_eq!(last["tag"], TAG);
+    resolver.change(0, |list| list.push(line("s-2", other_at, 0)));
+    let mut far = Lines::accept(&other);
+    caller.start(OTHER, 9_000, 0);
+    assert_eq!(far.expect("START")["tag"], OTHER);
+}
+
 /// A resolver that falls silent is in the log and in the figures, once.
 #[test]
 fn a_silent_resolver_is_told_of() {
@@ -654,6 +707,52 @@
     }
 }
 
+/// A caller that sends its set-up a byte at a time is not waited for beyond 2 s; others are answered meanwhile.
+#[test]
+fn a_byte_at_a_time_holds_nobody_up() {
+    let (_server, _resolver, _program, mut far, gate) = gatekeeper();
+    let (mut slow, mut other) = (Lines::connect(gate), Lines::connect(gate));
+    let mut drip = slow.writer();
+    let dripping = std::thread::spawn(move || {
+        for byte in set_up(TAG, 9000, "v=0").bytes().cycle().take_while(|byte| *byte != b'\n') {
+            if drip.write_all(&[byte]).is_err() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(40));
+        }
+    });
+    for n in 0..20 {
+        let tag = format!("{n:016x}");
+        other.start(&tag, 9000, 0);
+        assert_eq!(far.expect("START")["tag"], *tag, "and nothing of the slow one");
+        far.started(&json!(tag));
+        other.expect("STARTED");
+    }
+    assert_eq!(slow.text(), "", "it is closed");
+    drop(slow);
+    dripping.join().unwrap();
+}
+
+/// A caller sends set-ups without end and reads nothing: each gets one answer or the connection ends, and another caller is
+/// answered at once.
+#[test]
+fn a_flood_of_set_ups_ends_with_its_connection() {
+    let (_server, _resolver, program, mut far, gate) = gatekeeper();
+    let mut flood = Lines::connect(gate).reads_little();
+    let mut other = Lines::connect(gate);
+    let text: String =
+        (0..200).map(|n| set_up(&format!("{n:016x}"), 1, "v").replace("check-setup", "none")).collect();
+    let flooding = std::thread::spawn(move || (0..1_000).any(|_| flood.write_all(text.as_bytes()).is_err()));
+    let asked = Instant::now();
+    other.start(OTHER, 9000, 0);
+    assert_eq!(far.expect("START")["tag"], OTHER);
+    far.started(&json!(OTHER));
+    other.expect("STARTED");
+    assert!(asked.elapsed() < Duration::from_secs(5), "{:?}", asked.elapsed());
+    assert!(flooding.join().unwrap(), "200,000 answers that nobody reads are not kept");
+    assert!(program.most_memory_kb() < 64 * 1024, "{} KB", program.most_memory_kb());
+}
+
 // ---- Other settings ----
 
 /// Settings that share no name with any known deployment's: classes, pools and figures come from them alone.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -239,6 +239,13 @@
         });
     }
 
+    /// The most memory that it has had so far.
+    pub fn most_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        most.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// What `peers` do while it is stopped is in the kernel before any of it may run.
     pub fn crossed<T>(&self, peers: impl FnOnce() -> T) -> T {
         self.pause();
@@ -631,6 +638,17 @@
         self.stream.write_all(bytes).unwrap();
     }
 
+    /// Another hand on what is written.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.try_clone().unwrap()
+    }
+
+    /// The connection, with little room for what is not read.
+    pub fn reads_little(self) -> TcpStream {
+        socket2::SockRef::from(&self.stream).set_recv_buffer_size(4096).unwrap();
+        self.stream
+    }
+
     /// Ends the connection; its peer has the end when this returns.
     pub fn close(self) {
         let none_starts = STARTING.read().unwrap_or_else(PoisonError::into_inner);
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -439,6 +439,29 @@
     assert!(!site.program.rest_of_log().contains("guard"));
 }
 
+/// Repeats of an INVITE, its answer, and SIGTERM are all there before the program may run: one INVITE went out, the call gets its
+/// one answer, and both sides hear its end.
+#[test]
+fn a_repeated_invite_in_a_planned_stop_is_no_second_call() {
+    let (mut site, invite) = site(On::Udp, 9000, "c30");
+    site.program.pause();
+    site.program.terminate();
+    for _ in 0..3 {
+        site.caller.invite("c30");
+    }
+    site.server.answer(&invite, "200 OK", "far", "v=0\r\n");
+    site.program.proceed();
+    site.server.expect("ACK");
+    let ok = site.caller.expect("SIP/2.0 200");
+    site.caller.invite("c30");
+    site.caller.in_dialog(&ok, "ACK", 1);
+    site.caller.expect("BYE");
+    site.server.expect("BYE");
+    assert!(site.program.ended().success());
+    assert_eq!(site.server.count("INVITE"), 1);
+    assert!(!site.program.rest_of_log().contains("guard"));
+}
+
 /// Nothing listens where a server did: its process has ended, and its calls with it.
 #[test]
 fn calls_of_a_dead_server_are_ended_towards_their_callers() {
