Go on only when the kernel has passed all of a crossing; a hand-over crossed by set-up and release

Checked: no other process held the caller's connection (starts are locked out), one epoll call gives both events. Left: on a busy machine the kernel passes a FIN on loopback late, so that the program went on before it was there. Not measured by itself; the condition now asks for what the test means. Change: tests only. After a crossing is laid, the story waits until /proc/net/tcp shows nothing unheard towards the program and no end on its way. New: a set-up, a release and SIGTERM at the old process of an upgrade, either first.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 //! and its callers on loopback. Everything is scripted by the story; nothing here decides.
 #![allow(dead_code)]
 
+pub mod kernel;
 pub mod sip;
 pub mod site;
 
@@ -250,6 +251,7 @@
     pub fn crossed<T>(&self, peers: impl FnOnce() -> T) -> T {
         self.pause();
         let done = peers();
+        eventually("the kernel has it all", || kernel::has_all_for(self.child.id()).then_some(()));
         self.proceed();
         done
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -123,6 +123,44 @@
     assert_eq!((&over["tag"], &over["rc"]), (&json!(TAG), &json!(16)));
 }
 
+/// A set-up, the release of a call that stands, and SIGTERM are all there before the old process may run: the set-up gets its
+/// one answer there and its call goes on at the new process, and the release is heard once.
+#[rstest]
+fn a_set_up_and_a_release_cross_the_hand_over(#[values(true, false)] stop_first: bool) {
+    let other = "9b1f03aa5c7e2d42";
+    let Pair { site, server: _server, mut old, new: _new, mut old_far, mut new_far, mut caller, .. } =
+        side_by_side();
+    old.crossed(|| {
+        if stop_first {
+            old.terminate();
+        }
+        caller.start(other, 3000, 0);
+        caller.finish(&json!(TAG), 16, json!({}));
+        if !stop_first {
+            old.terminate();
+        }
+    });
+    caller.expect("FINISHED");
+    old_far.until("START", other);
+    old_far.started(&json!(other));
+    assert_eq!(caller.expect("STARTED")["tag"], other);
+    assert_eq!(caller.text(), "", "its connection has ended, and the call was not released");
+    assert!(old.ended().success());
+    let mut caller = Lines::connect(site.gate);
+    caller.finish(&json!(other), 16, json!({}));
+    caller.expect("FINISHED");
+    let mut releases = Vec::new();
+    while let Some(message) = old_far.next_message() {
+        releases.push(message);
+    }
+    while releases.last().is_none_or(|message| message["tag"] != other) {
+        releases.push(new_far.hear());
+    }
+    releases.retain(|message| message["verb"] == "FINISH");
+    let told = |tag: &str| releases.iter().filter(|message| message["tag"] == tag).count();
+    assert_eq!((told(TAG), told(other)), (1, 1), "{releases:?}");
+}
+
 /// While both run, words on a call that the other has find their way.
 #[rstest]
 #[case::the_caller_ends_it(true)]
