--- /dev/null
+++ b/src/operate/figures/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+fn counts(served: u64) -> Counts {
+    Counts { served, ..Counts::default() }
+}
+
+#[test]
+fn each_class_is_there_from_the_start_and_labels_are_escaped() {
+    let classes = vec![("check-setup".to_string(), counts(0)), ("a\"\\\nb".to_string(), counts(3))];
+    let text = Figures { classes, in_flight: 14, ..Figures::default() }.render();
+    for line in [
+        "edge_lb_served_total{class=\"check-setup\"} 0",
+        "edge_lb_served_total{class=\"a\\\"\\\\\\nb\"} 3",
+        "edge_lb_attempts_total{class=\"check-setup\"} 0",
+        "edge_lb_in_flight 14",
+        "edge_lb_setup_servers_known 0",
+        "edge_lb_setup_servers_excluded 0",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+    }
+}
+
+#[test]
+fn a_class_of_both_fronts_is_counted_together() {
+    let of = |name: &str, served| Figures {
+        classes: vec![(name.to_string(), counts(served))],
+        in_flight: 1,
+        servers_known: 2,
+        servers_excluded: 1,
+        list_silent_s: name.len(),
+    };
+    let mut sum = of("a", 2);
+    sum.add(of("a", 3));
+    sum.add(of("b", 4));
+    assert_eq!(sum.classes, [("a".to_string(), counts(5)), ("b".to_string(), counts(4))]);
+    assert_eq!((sum.in_flight, sum.servers_known, sum.servers_excluded), (3, 6, 3));
+}
