SIP: crossings of a returned server and of a time-out; a stop's time for every patience

Need: what the fronts share in the core is shown on both; the stop's arithmetic was shown for one deadline only. Change: tests.

--- a/src/operate/service/tests.rs
+++ b/src/operate/service/tests.rs
@@ -49,3 +49,17 @@
     service.order(4, false);
     assert_eq!((service.stopping(), service.takes_clients()), (Some(2), false));
 }
+
+/// SIGKILL may come 0.7 s after the longest that anyone waits, 3 s being the most that counts.
+#[test]
+fn the_end_comes_in_time_for_those_who_wait() {
+    const LAST_WORDS: Micros = 170_000;
+    for patience in [50_000, 400_000, 1_400_000, 2_999_000, 3_000_000, 9_000_000] {
+        let mut service = Service::of(patience);
+        service.stop(0);
+        let killed = patience.min(STOP_MOST) + 700_000;
+        assert!(service.ended(killed - LAST_WORDS, 1, 1, 1), "{patience}");
+        assert!(!service.ended(patience.min(STOP_MOST) - 1, 0, 1, 0), "{patience}: what stands may go on");
+        assert!(!service.ended(patience.min(STOP_MOST), 1, 0, 0), "{patience}: what is open a little longer");
+    }
+}
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -462,6 +462,45 @@
     assert!(!site.program.rest_of_log().contains("guard"));
 }
 
+/// The caller's time ends and the server's 200 is there in the same turn: one final answer, and what stands at the server is ended.
+#[test]
+fn an_answer_in_the_turn_of_its_time_out_is_ended() {
+    let (mut site, invite) = site(On::Udp, 1_500, "c31");
+    site.program.crossed(|| {
+        site.server.answer(&invite, "200 OK", "far", "v=0\r\n");
+        std::thread::sleep(Duration::from_millis(1_600)); // its time is over
+    });
+    let last = site.caller.expect("SIP/2.0 4");
+    assert!(last.is("SIP/2.0 408"), "{}", last.first());
+    site.server.expect("ACK");
+    site.server.expect("BYE");
+    assert_eq!(site.caller.count("SIP/2.0 200"), 0);
+}
+
+/// A server goes and is back at its address before the calls of the one before have counted as cut: new ones are its own.
+#[test]
+fn a_server_that_goes_and_returns_keeps_its_new_calls() {
+    let (mut site, _, _) = standing(On::Udp, "c32");
+    let at = site.server.own;
+    let gone = site.resolver.change(0, |list| list.clear());
+    site.resolver.told(gone);
+    let back = site.resolver.change(0, |list| list.push(line("s-1", at, 0)));
+    site.resolver.told(back);
+    site.resolver.asked_often(1); // the list has been taken
+    let mut other = Agent::udp(site.gate);
+    other.invite("c33");
+    let invite = site.server.expect("INVITE");
+    site.server.answer(&invite, "200 OK", "far", "v=0\r\n");
+    let ok = other.expect("SIP/2.0 200");
+    other.in_dialog(&ok, "ACK", 1);
+    site.caller.expect("BYE"); // the first process's call is cut with it
+    site.resolver.asked_often(5); // over a second
+    other.in_dialog(&ok, "BYE", 2);
+    other.expect("SIP/2.0 200");
+    site.server.expect("BYE");
+    assert_eq!(other.count("BYE"), 0, "it was not cut");
+}
+
 /// Nothing listens where a server did: its process has ended, and its calls with it.
 #[test]
 fn calls_of_a_dead_server_are_ended_towards_their_callers() {
