Tests: a story's further server listens until its program has ended

A guess, not measured: three stories gave their second listener up before their program ended, which dials again for some milliseconds, and a port that is used again there has a stranger's connection first. Change: these listeners are made first, so they are given up last.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -356,8 +356,8 @@
 /// hears nothing until it is gone.
 #[test]
 fn what_waits_for_a_dial_leaves_a_server_that_drains() {
-    let (server, _first, resolver, _program, gate) = late_to_connect();
     let (other, other_at) = listen();
+    let (server, _first, resolver, _program, gate) = late_to_connect();
     let mut one = Lines::connect(gate);
     one.start(TAG, 9000, 0);
     one.nothing_but_an_echo();
@@ -385,6 +385,7 @@
 #[case::its_caller_closes(Some(Leaves::Closes))]
 #[case::its_server_drains(None)]
 fn what_waits_in_an_outbox_is_taken_back(#[case] how: Option<Leaves>) {
+    let (other, other_at) = listen();
     let (server, at) = listen_narrow(16);
     let resolver = Resolver::new(vec![line("s-1", at, 0)]);
     let mut slow = settings(); // with aims so long that silence does not shut the server
@@ -394,7 +395,6 @@
     let mut far = Lines::accept(&server);
     // It says its state all along, so that nobody takes its connection for cut.
     far.keeps_saying(json!({"verb": "LOAD", "opts": {"load": "x0:9000;x1:9000"}}), Duration::from_millis(50));
-    let (other, other_at) = listen();
     let mut many = Lines::connect(gate);
     let written = || {
         let text = ask(door, "GET", "/control/counters").1;
@@ -618,8 +618,8 @@
 /// A list that empties leaves no server: a set-up gets its one answer in its time, and the next list is served.
 #[test]
 fn a_list_that_empties_and_fills_again() {
-    let (_server, resolver, _program, _far, gate) = gatekeeper();
     let (other, other_at) = listen();
+    let (_server, resolver, _program, _far, gate) = gatekeeper();
     let gone = resolver.change(0, |list| list.clear());
     resolver.told(gone);
     resolver.asked_often(1); // the list has been taken
