Judge all unwritten answers of a caller that left before its queue is let go of

Cause, by reading (platform/clients.rs client_left): where the first unwritten answer was written in part, the whole queue was let go of in the loop, and Outbox::has_written then said yes for the answers and releases behind it: their calls would have stood on, or counted as told. Change: the queue is let go of after all have been judged.

--- a/src/platform/clients.rs
+++ b/src/platform/clients.rs
@@ -248,17 +248,19 @@
             self.clients.forget(call);
             self.feed(Input::GivenUp(call));
         }
+        let mut torn = false;
         for (call, answer) in link.stand {
             // Guards against a caller's leaving that crosses the answer in our outbox: nobody will ever read it, so what
             // stands is released now.
             if !link.outbox.has_written(answer) {
-                if !link.outbox.take_back(answer) {
-                    link.outbox.clear();
-                }
+                torn |= !link.outbox.take_back(answer);
                 self.caller_ends(call);
             }
         }
         self.clients.tell_again(id, link.telling, link.confirms, &link.outbox);
+        if torn {
+            link.outbox.clear(); // only now: what was let go of would count as written
+        }
     }
 }
 
