Ask a server that the list drops whether it works before its calls are ended

What callers saw: a zone was lost for 5 s, and the list, 6.6 s late, dropped its server when it was back. A set-up that the server worked on went to another server as well and then stood at both; a call that stood there was cut at its caller only.

Cause: the belief that a dropped server is dead. Half a second after the removal the frontends fed ServerTerminated, and the core ended attempts and calls without a word to the server. Hypotheses: the list, the end of a connection, the attempt's own time-out. The trace could not tell the first, so `ends the calls at a server` with its reason was added (also: callers' addresses and why a connection to a server is closed, at debug). It said reason=Removed calls=2, 501 ms before the second attempt; no AttemptEnded, no AttemptCancelled; the connection had been silent for 38 ms when it was closed.

Change: a removal is a reason to ask, silence is the evidence. Nothing new goes to the server; each of its connections with calls gets a health check (SIP: OPTIONS). Heard: its set-ups and calls go on. Not heard (platform 0.5 s or its longest silence, SIP 2 s): they end on both sides, by the new Input::AttemptLost. The proof holds for the process at the other end of that connection only, so calls from before a restart end as early as before. A later start or a refused dial still ends calls, and now says so on connections that are open. This works because an attempt is no longer counted as over before the server was told or its connection had ended.

Related paths. By tests: both frontends (SIP over UDP and TCP), removal, and removal with return, whose two older tests pass unchanged. By reading: later start and refused dial (changed as above), reload, drain (they end no call of a server). By reading, left open: a call handed over in an upgrade for a server that the new process does not list (docs/incidents).

Tests: on the code with the new log lines alone, the three cases in tests/platform.rs and the four in tests/sip.rs failed (the set-up came to the other server; no health check; no cancellation).

Workspace tests: no failure.

--- a/src/call_trace.rs
+++ b/src/call_trace.rs
@@ -32,6 +32,8 @@
     Established(u32),
     /// The core was notified of the end of this attempt or of the call established by it.
     AttemptEnded(u32, Outcome),
+    /// The core was notified that contact with this attempt's server is lost.
+    AttemptLost(u32),
     /// The core sent this attempt to a server.
     AttemptSent(u32, ServerId),
     /// The core cancelled this attempt.
@@ -120,6 +122,7 @@
             Input::AttemptEnded { attempt, outcome, .. } => {
                 (attempt.call, TraceStep::AttemptEnded(attempt.number, *outcome))
             }
+            Input::AttemptLost(attempt) => (attempt.call, TraceStep::AttemptLost(attempt.number)),
             Input::CallAdopted(adopted) => (adopted.attempt.call, TraceStep::Adopted),
             Input::CallHandedOver(call) => (*call, TraceStep::HandedOver),
             Input::Load { .. }
@@ -142,7 +145,7 @@
             Command::CancelAttempt { attempt, .. } => {
                 (attempt.call, TraceStep::AttemptCancelled(attempt.number))
             }
-            Command::ReleaseAtServer { attempt, .. } => {
+            Command::ReleaseAtServer { attempt, .. } | Command::ReleaseIfConnected { attempt } => {
                 (attempt.call, TraceStep::ReleasedAtServer(attempt.number))
             }
             Command::Accept { call, .. } => (*call, TraceStep::Accepted),
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -104,7 +104,8 @@
         self.abandon_attempt(call, in_flight, Outcome::TimedOut, commands);
     }
 
-    fn abandon_attempt(
+    /// Ends a pending attempt that its server has not ended: it is cancelled there, and the release wait begins.
+    pub(super) fn abandon_attempt(
         &mut self,
         call: CallId,
         in_flight: InFlightAttempt,
--- a/src/gateway/interface.rs
+++ b/src/gateway/interface.rs
@@ -98,6 +98,9 @@
         /// The entries.
         entries: Vec<ServerEntry>,
     },
+    /// Contact with the server of an attempt is lost. The server may still work on the attempt, or have the call
+    /// established by it, so the attempt is ended on both sides.
+    AttemptLost(AttemptId),
     /// A server's process ended no later than `at`: its attempts and calls from before that time are reset.
     ServerTerminated {
         /// The server.
@@ -155,6 +158,12 @@
         /// Its server.
         server: ServerId,
     },
+    /// Release an established call at its server if the connection on which it was set up is still open. The server's
+    /// process has ended, so no other connection leads to it; an open one shows that it has not.
+    ReleaseIfConnected {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Final answer: the call is established.
     Accept {
         /// The call.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -102,6 +102,7 @@
             Input::AttemptEnded { attempt, outcome, cause, load } => {
                 self.handle_attempt_ended(attempt, EndReport { outcome, cause, load }, commands);
             }
+            Input::AttemptLost(attempt) => self.handle_attempt_lost(attempt, commands),
             Input::Load { server, answered, load } => {
                 self.routing.record_load(self.now, server, &load);
                 self.pending_events.push_back(Event::Load { server, answered, load });
--- a/src/gateway/responses.rs
+++ b/src/gateway/responses.rs
@@ -7,7 +7,7 @@
 use super::call_counters::CallEnd;
 use super::call_table::{CallState, InFlightAttempt};
 use super::{AttemptId, Command, Gateway};
-use crate::{Event, Micros, Outcome, ServerId};
+use crate::{CallId, Event, Micros, Outcome, ServerId};
 
 impl Gateway {
     /// The state of the attempt's call and the attempt itself; `None` once the attempt has ended.
@@ -87,8 +87,23 @@
         self.notify_attempt_ended(attempt.call, in_flight, end);
     }
 
-    /// Handles the end of a server's process: its attempts and calls from before `ended_at` are reset, without a
-    /// release at the server.
+    /// Handles the loss of contact with an attempt's server, which may still have the attempt or its call.
+    pub(super) fn handle_attempt_lost(&mut self, attempt: AttemptId, commands: &mut Vec<Command>) {
+        match self.active_attempt(attempt) {
+            Some((CallState::Pending(_), lost)) => {
+                self.abandon_attempt(attempt.call, lost, Outcome::Reset, commands);
+            }
+            Some((CallState::Established(_), lost)) => {
+                commands.push(Command::ReleaseAtServer { attempt, server: lost.server });
+                self.reset_established(attempt.call, lost, commands);
+            }
+            None => {}
+        }
+    }
+
+    /// Handles the end of a server's process: its attempts and calls from before `ended_at` are reset. No attempt is
+    /// over for certain before its server has said so or its connection has ended, so those with an open connection are
+    /// ended at the server as well.
     pub(super) fn handle_server_terminated(
         &mut self,
         server: ServerId,
@@ -96,13 +111,27 @@
         commands: &mut Vec<Command>,
     ) {
         for (call, server_attempt) in self.calls.calls_at_server(server) {
-            if server_attempt.sent_at <= ended_at {
+            if server_attempt.sent_at > ended_at {
+                continue;
+            }
+            if self.calls.is_established(call) {
                 let attempt = AttemptId { call, number: server_attempt.number };
-                self.handle_attempt_ended(attempt, EndReport::unreported(Outcome::Reset), commands);
+                commands.push(Command::ReleaseIfConnected { attempt });
+                self.reset_established(call, server_attempt, commands);
+            } else {
+                self.abandon_attempt(call, server_attempt, Outcome::Reset, commands);
             }
         }
     }
 
+    /// Ends an established call as reset and releases it to its caller.
+    fn reset_established(&mut self, call: CallId, lost: InFlightAttempt, commands: &mut Vec<Command>) {
+        let quarantine_until = self.now + self.settings.rules.release_wait;
+        self.calls.remove(call, quarantine_until, CallEnd::Released);
+        commands.push(Command::ReleaseToCaller { call, outcome: Outcome::Reset });
+        self.notify_call_over(call, lost, Outcome::Reset);
+    }
+
     /// Handles an unreachable server, which may have ended any of its calls: each call established there before
     /// `last_heard_at` is released to its caller, and at the server once it can be reached again.
     pub(super) fn handle_server_unreachable(
@@ -116,12 +145,9 @@
             if server_attempt.sent_at > last_heard_at || !self.calls.is_established(call) {
                 continue;
             }
-            let quarantine_until = self.now + self.settings.rules.release_wait;
-            self.calls.remove(call, quarantine_until, CallEnd::Released);
             let attempt = AttemptId { call, number: server_attempt.number };
             commands.push(Command::ReleaseAtServer { attempt, server });
-            commands.push(Command::ReleaseToCaller { call, outcome: Outcome::Reset });
-            self.notify_call_over(call, server_attempt, Outcome::Reset);
+            self.reset_established(call, server_attempt, commands);
         }
     }
 }
--- a/src/platform/clients/connections.rs
+++ b/src/platform/clients/connections.rs
@@ -128,6 +128,7 @@
     let connection = ClientConnection::new(peer, clock::now());
     let outbox = connection.outbox.clone();
     let id = frontend.borrow_mut().new_connection_id();
+    tracing::debug!(target: "link", id, %peer, "a caller has connected");
     frontend.borrow_mut().clients.add_connection(id, connection);
     let on_line = |line: Line| frontend.borrow_mut().handle_client_message(id, line);
     let _ = link::run(&mut stream, &outbox, MESSAGE_TIMEOUT, reader(on_line), || {}).await;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -28,7 +28,7 @@
 use crate::{EndpointListScope, Micros, Outcome};
 
 use clients::Clients;
-use servers::Servers;
+use servers::{ServerEndReason, Servers};
 
 /// Identifies a connection within this process; never reused.
 pub type ConnectionId = u64;
@@ -150,24 +150,16 @@
         let now = clock::now();
         self.driver.list_received_at = Some(now);
         let (entries, changes) = self.directory.apply(scope, list);
-        for server in self.directory.servers().collect::<Vec<_>>() {
-            // A server that was removed and is listed again is a new process. Its predecessor's calls are ended now.
-            // If they were ended only when the wait for the old one's last releases is over, the new one's calls
-            // would end too.
-            if let Some(at) = self.servers.take_relisted(server) {
-                self.feed(Input::ServerTerminated { server, at });
-            }
-        }
         self.feed(Input::EndpointList { notified_at, scope, entries });
         for server in &changes.closed {
             tracing::info!(server = self.directory.name(*server), "server takes no new calls");
             self.withdraw_unsent(*server);
         }
         for (server, at) in &changes.restarted {
-            self.feed(Input::ServerTerminated { server: *server, at: *at });
+            self.end_calls_at_server(*server, *at, ServerEndReason::Restarted);
         }
         for server in &changes.removed {
-            self.servers.remove_server(*server, now);
+            self.handle_server_removed(*server, now);
         }
         self.maintain_servers(now);
     }
@@ -199,6 +191,7 @@
             }
             Command::CancelAttempt { attempt, .. } => self.servers.cancel_attempt(attempt),
             Command::ReleaseAtServer { attempt, server } => self.release_at_server(attempt, server),
+            Command::ReleaseIfConnected { attempt } => self.servers.release_if_connected(attempt),
             Command::Accept { call, description } => {
                 self.servers.mark_established(call);
                 self.clients.accept_call(call, &description);
--- a/src/platform/servers/attempts.rs
+++ b/src/platform/servers/attempts.rs
@@ -6,10 +6,10 @@
 use crate::clock;
 use crate::driver::Frontend as _;
 use crate::gateway::{AttemptId, Input};
-use crate::{Cause, LoadReport, Micros, Outcome, ServerId};
+use crate::{CallId, Cause, LoadReport, Micros, Outcome, ServerId};
 
-use super::super::PlatformFrontend;
 use super::super::line::Tag;
+use super::super::{ConnectionId, PlatformFrontend};
 use super::connection::{QueuedMessage, QueuedSetup};
 use super::{AttemptEntry, CallKey, MAX_RELEASES, Servers};
 
@@ -45,17 +45,22 @@
         self.servers.queue(id, QueuedMessage::Setup(setup));
     }
 
-    /// Releases an established call at its server, on any usable connection.
+    /// Releases an established call at its server, on any usable connection. If the server was removed from the list
+    /// since the call was set up, only the call's own connection is known to lead to it.
     pub(in crate::platform) fn release_at_server(&mut self, attempt: AttemptId, server: ServerId) {
-        if let Some(key) = self.servers.remove_call(attempt.call) {
-            self.send_release(server, key.tag);
+        let own_connection = self.servers.open_connection_of(attempt.call);
+        let Some(key) = self.servers.remove_call(attempt.call) else { return };
+        match own_connection.filter(|id| self.servers.connections[id].removed_at.is_some()) {
+            Some(id) => self.servers.queue(id, QueuedMessage::Release(key.tag)),
+            None => self.send_release(server, key.tag),
         }
     }
 
     pub(super) fn send_release(&mut self, server: ServerId, tag: Tag) {
         match self.usable_connection(server, tag, clock::now()) {
             Some(id) => self.servers.queue(id, QueuedMessage::Release(tag)),
-            None => self.servers.add_pending_release(server, tag),
+            None if self.directory.address(server).is_some() => self.servers.add_pending_release(server, tag),
+            None => {} // the server is not listed: there is no way to it
         }
     }
 
@@ -111,6 +116,20 @@
         }
     }
 
+    /// The connection on which a call was set up, if it is open.
+    fn open_connection_of(&self, call: CallId) -> Option<ConnectionId> {
+        let id = self.attempts.get(&self.call_key(call)?)?.connection;
+        self.connections.get(&id).filter(|connection| connection.outbox.is_open()).map(|_| id)
+    }
+
+    /// Releases an established call on the connection on which it was set up, if that is open.
+    pub(in crate::platform) fn release_if_connected(&mut self, attempt: AttemptId) {
+        let own_connection = self.open_connection_of(attempt.call);
+        if let (Some(key), Some(id)) = (self.remove_call(attempt.call), own_connection) {
+            self.queue(id, QueuedMessage::Release(key.tag));
+        }
+    }
+
     fn add_pending_release(&mut self, server: ServerId, tag: Tag) {
         let pending = self.pending_releases.entry(server).or_default();
         if pending.len() >= MAX_RELEASES {
--- a/src/platform/servers/connection.rs
+++ b/src/platform/servers/connection.rs
@@ -12,6 +12,7 @@
 use crate::{Micros, ServerId};
 
 use super::super::line::{Tag, cause, encode};
+use super::health::{REMOVAL_GRACE, UNREACHABLE_TIMEOUT};
 use super::{CANCELLED_RETENTION, MAX_RELEASES};
 
 /// A connection on which an answer is awaited and no message came for this long is suspect: a broken link gives no
@@ -89,6 +90,9 @@
     pub dialled_at: Option<Micros>,
     /// It gets no new messages and is closed once nothing is unanswered or queued on it.
     pub is_retired: bool,
+    /// When its server was removed from the list. It is then kept until the calls set up on it have ended: no other
+    /// connection is known to lead to the same process.
+    pub removed_at: Option<Micros>,
 }
 
 impl ServerConnection {
@@ -113,6 +117,7 @@
             is_replaced: false,
             dialled_at: None,
             is_retired: false,
+            removed_at: None,
         }
     }
 
@@ -127,6 +132,17 @@
         self.is_up && self.max_silence.is_some_and(|max| now > self.silent_since + max)
     }
 
+    /// Whether its server was removed from the list and counts as lost: nothing was heard of it in time after the
+    /// removal, or nothing for long since then. Messages from before the removal show nothing, and the list may be
+    /// seconds late: a server that was heard after it has returned, or was never gone.
+    pub fn is_lost(&self, now: Micros) -> bool {
+        let Some(removed_at) = self.removed_at else { return false };
+        if self.last_received_at > removed_at {
+            return now > self.last_received_at + UNREACHABLE_TIMEOUT;
+        }
+        now >= removed_at + self.max_silence.unwrap_or(0).max(REMOVAL_GRACE)
+    }
+
     /// Whether new messages may be sent on it.
     pub fn is_usable(&self, now: Micros) -> bool {
         !self.is_retired && self.outbox.is_open() && !self.is_suspect(now)
--- a/src/platform/servers/health.rs
+++ b/src/platform/servers/health.rs
@@ -1,8 +1,10 @@
 //! Health checks, silent servers with established calls, and removed servers.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::clock;
 use crate::driver::Frontend as _;
-use crate::gateway::Input;
+use crate::gateway::{AttemptId, Input};
 use crate::{LoadReport, Micros, ServerId};
 
 use super::super::line::Tag;
@@ -20,10 +22,21 @@
 /// ... and the server counts as unreachable after this much silence on all its connections. Callers must be notified
 /// of a call's end within 8 s even if the server cannot report it (on a recorded day with a zone cut off for 13 s, 12
 /// calls were lost because of this).
-const UNREACHABLE_TIMEOUT: Micros = 7_000_000;
-/// Time between a server's removal from the list and the end of its calls as lost: their releases may still be in
-/// transit.
-const REMOVAL_GRACE: Micros = 500_000;
+pub(super) const UNREACHABLE_TIMEOUT: Micros = 7_000_000;
+/// Time after its removal from the list in which a server must be heard, or its calls count as lost. Releases that it
+/// sent before its end may still be in transit for as long.
+pub(super) const REMOVAL_GRACE: Micros = 500_000;
+
+/// Why the attempts and calls at a server are ended although the server has not ended them.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::platform) enum ServerEndReason {
+    /// The list no longer contains the server, and nothing has been heard of it since.
+    RemovedAndSilent,
+    /// The list has a later start time for the server than before.
+    Restarted,
+    /// The server refused a connection, and no other is open.
+    Refused,
+}
 
 /// A health check that has not been answered.
 pub(super) struct HealthCheck {
@@ -31,13 +44,6 @@
     expires_at: Micros,
 }
 
-/// A server that was removed from the list.
-pub(super) struct RemovedServer {
-    notified_at: Micros,
-    /// When its calls count as lost.
-    lost_at: Micros,
-}
-
 impl PlatformFrontend {
     /// Sends a health check to a server. Its result is reported to the core as `Input::Load`.
     pub(in crate::platform) fn check_health(&mut self, server: ServerId) {
@@ -57,9 +63,9 @@
         for server in self.servers.take_expired_health_checks(now) {
             self.feed(Input::Load { server, answered: false, load: LoadReport::default() });
         }
-        for server in self.servers.take_lost_servers(now) {
-            self.feed(Input::ServerTerminated { server, at: now });
-            self.servers.retire(server);
+        self.end_lost_attempts(now);
+        for server in self.servers.removed_with_connections() {
+            self.check_silent_connections(server, now);
         }
         for server in self.directory.servers().collect::<Vec<_>>() {
             self.maintain_connections(server, now);
@@ -68,6 +74,51 @@
         self.servers.close_retired(now);
     }
 
+    /// Ends a server's attempts and calls from before `at`.
+    pub(in crate::platform) fn end_calls_at_server(
+        &mut self,
+        server: ServerId,
+        at: Micros,
+        reason: ServerEndReason,
+    ) {
+        let calls = self.servers.call_count(server);
+        if calls > 0 {
+            let name = self.directory.name(server);
+            tracing::info!(server = name, ?reason, calls, "ends the calls at a server");
+        }
+        self.feed(Input::ServerTerminated { server, at });
+    }
+
+    /// Handles a server's removal from the list. The list is seconds late, so the server may work: it may have returned
+    /// already. Its connections get no new calls, and a health check on each of them shows whether it has its calls.
+    pub(in crate::platform) fn handle_server_removed(&mut self, server: ServerId, now: Micros) {
+        self.servers.remove_server(server, now);
+        let with_calls = self.servers.connections_with_calls();
+        let connections = self.servers.connections_of(server).map(|(id, _)| id);
+        for id in connections.filter(|id| with_calls.contains(id)).collect::<Vec<_>>() {
+            let tag = self.servers.new_health_check_tag();
+            self.servers.queue(id, QueuedMessage::HealthCheck(tag));
+        }
+    }
+
+    /// Ends the attempts and calls at removed servers that are not heard any more, on both sides.
+    fn end_lost_attempts(&mut self, now: Micros) {
+        for (server, attempts) in self.servers.lost_attempts(now) {
+            let (name, calls) = (self.directory.name(server), attempts.len());
+            let reason = ServerEndReason::RemovedAndSilent;
+            tracing::info!(server = name, ?reason, calls, "ends the calls at a server");
+            for attempt in attempts {
+                self.feed(Input::AttemptLost(attempt));
+            }
+        }
+        for server in self.servers.take_checked_servers(now) {
+            let (name, calls) = (self.directory.name(server), self.servers.heard_call_count(server));
+            if calls > 0 {
+                tracing::info!(server = name, calls, "a server removed from the list works: its calls go on");
+            }
+        }
+    }
+
     /// Detects whether a server with established calls is unreachable: sends health checks on silent connections, and
     /// reports the server as unreachable if no message comes in time.
     fn detect_unreachable(&mut self, server: ServerId, now: Micros) {
@@ -82,6 +133,11 @@
             self.feed(Input::ServerUnreachable { server, last_heard_at: last_received_at });
             return;
         }
+        self.check_silent_connections(server, now);
+    }
+
+    /// Sends a health check on each connection to a server that has been silent for some time.
+    fn check_silent_connections(&mut self, server: ServerId, now: Micros) {
         let is_silent = |connection: &ServerConnection| {
             let checked_at = connection.last_received_at.max(connection.last_checked_at);
             connection.is_up && now > checked_at + SILENCE_BEFORE_CHECK
@@ -132,31 +188,56 @@
         self.health_checks.remove(&tag).is_some()
     }
 
-    /// Takes out the removed servers whose calls count as lost from now on.
-    fn take_lost_servers(&mut self, now: Micros) -> Vec<ServerId> {
-        let lost = self.removed.iter().filter(|(_, removed)| now >= removed.lost_at);
-        let lost: Vec<ServerId> = lost.map(|(server, _)| *server).collect();
-        for server in &lost {
-            self.removed.remove(server);
+    /// The attempts at removed servers that count as lost: those on a connection on which the server is silent, and after
+    /// the grace period those without an open connection.
+    fn lost_attempts(&self, now: Micros) -> BTreeMap<ServerId, BTreeSet<AttemptId>> {
+        let mut lost: BTreeMap<ServerId, BTreeSet<AttemptId>> = BTreeMap::new();
+        if self.removed.is_empty() && self.removed_with_connections().is_empty() {
+            return lost;
+        }
+        let is_past_grace = |server| self.removed.get(&server).is_some_and(|lost_at| now >= *lost_at);
+        for (key, entry) in &self.attempts {
+            let connection = self.connections.get(&entry.connection);
+            if connection.map_or_else(|| is_past_grace(key.server), |connection| connection.is_lost(now)) {
+                lost.entry(key.server).or_default().insert(entry.attempt);
+            }
         }
         lost
     }
 
-    /// Records that a server was removed from the list. Only the last releases of its calls may still arrive.
-    pub(in crate::platform) fn remove_server(&mut self, server: ServerId, now: Micros) {
-        let removed = RemovedServer { notified_at: now, lost_at: now + REMOVAL_GRACE };
-        self.removed.insert(server, removed);
+    /// Takes out the removed servers whose grace period is over.
+    fn take_checked_servers(&mut self, now: Micros) -> Vec<ServerId> {
+        let (checked, rest) = std::mem::take(&mut self.removed).into_iter().partition(|(_, at)| now >= *at);
+        self.removed = rest;
+        let checked: BTreeMap<ServerId, Micros> = checked;
+        checked.into_keys().collect()
+    }
+
+    /// Number of calls at a server on connections on which it was heard after its removal.
+    fn heard_call_count(&self, server: ServerId) -> usize {
+        let is_heard = |connection: &ServerConnection| {
+            connection.removed_at.is_some_and(|removed_at| connection.last_received_at > removed_at)
+        };
+        let entries = self.attempts.iter().filter(|(key, _)| key.server == server);
+        entries.filter(|(_, entry)| self.connections.get(&entry.connection).is_some_and(is_heard)).count()
+    }
+
+    /// Servers with a connection from before their removal.
+    fn removed_with_connections(&self) -> BTreeSet<ServerId> {
+        let from_before = self.connections.values().filter(|connection| connection.removed_at.is_some());
+        from_before.map(|connection| connection.server).collect()
+    }
+
+    /// Records that a server was removed from the list.
+    fn remove_server(&mut self, server: ServerId, now: Micros) {
+        self.removed.insert(server, now + REMOVAL_GRACE);
+        self.retire(server);
+        for connection in self.connections.values_mut().filter(|connection| connection.server == server) {
+            connection.removed_at.get_or_insert(now);
+        }
         self.pending_releases.remove(&server);
         self.redial_from.remove(&server);
         self.heartbeats.remove(&server);
         self.backoffs.remove(&server);
     }
-
-    /// If a server is listed again before its calls counted as lost, takes it out of the removed servers, retires its
-    /// old connections and returns when it was removed.
-    pub(in crate::platform) fn take_relisted(&mut self, server: ServerId) -> Option<Micros> {
-        let removed = self.removed.remove(&server)?;
-        self.retire(server);
-        Some(removed.notified_at)
-    }
 }
--- a/src/platform/servers/mod.rs
+++ b/src/platform/servers/mod.rs
@@ -18,7 +18,7 @@
 mod messages;
 mod pool;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::gateway::AttemptId;
@@ -28,7 +28,8 @@
 use super::heartbeat_monitor::HeartbeatMonitor;
 use super::line::Tag;
 use connection::{QueuedMessage, ServerConnection};
-use health::{HealthCheck, RemovedServer};
+use health::HealthCheck;
+pub(super) use health::ServerEndReason;
 use pool::Backoff;
 
 /// Maximum number of releases for one server without a connection, and of unconfirmed releases on one connection.
@@ -74,8 +75,8 @@
     /// Servers whose reports of ended calls may have been lost with an ended connection. A connection that is dialled
     /// at this time or later receives them again.
     redial_from: BTreeMap<ServerId, Micros>,
-    /// Servers that were removed from the list and whose calls do not yet count as lost.
-    removed: BTreeMap<ServerId, RemovedServer>,
+    /// Servers that were removed from the list, and when their calls without an open connection count as lost.
+    removed: BTreeMap<ServerId, Micros>,
 }
 
 impl Servers {
@@ -131,10 +132,20 @@
         Some(key)
     }
 
+    /// Connections on which calls are pending or established.
+    fn connections_with_calls(&self) -> BTreeSet<ConnectionId> {
+        self.attempts.values().map(|entry| entry.connection).collect()
+    }
+
     fn has_established_calls(&self, server: ServerId) -> bool {
         self.attempts.iter().any(|(key, entry)| key.server == server && entry.is_established)
     }
 
+    /// Number of calls with an attempt at a server, pending or established.
+    fn call_count(&self, server: ServerId) -> usize {
+        self.attempts.keys().filter(|key| key.server == server).count()
+    }
+
     fn has_calls(&self, server: ServerId) -> bool {
         self.attempts.keys().any(|key| key.server == server)
     }
--- a/src/platform/servers/pool.rs
+++ b/src/platform/servers/pool.rs
@@ -1,6 +1,7 @@
 //! The pool of connections to each setup server: choice of the connection for a message, dialling and back-off, and
 //! the ends of connections.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,15 +11,15 @@
 
 use crate::clock;
 use crate::driver::Frontend as _;
-use crate::gateway::Input;
+use crate::gateway::{AttemptId, Input};
 use crate::link::{self, Outbox};
 use crate::{Cause, LoadReport, Micros, Outcome, ServerId};
 
 use super::super::heartbeat_monitor::HeartbeatMonitor;
 use super::super::line::{Line, Tag, reader};
 use super::super::{ConnectionId, PlatformFrontend, SharedFrontend};
-use super::CallKey;
 use super::connection::{QueuedMessage, ServerConnection};
+use super::{CallKey, ServerEndReason};
 
 /// Longest time from the first byte of a server's message to its last. Servers write each message at once, and an
 /// incomplete line delays the answers of all calls behind it.
@@ -105,7 +106,8 @@
         if self.servers.backoffs.get(&server).is_some_and(|backoff| now < backoff.not_before) {
             return None;
         }
-        let is_full = self.servers.connections_of(server).count() >= MAX_CONNECTIONS;
+        let listed = self.servers.connections_of(server).filter(|(_, c)| c.removed_at.is_none());
+        let is_full = listed.count() >= MAX_CONNECTIONS;
         let replaced = if is_full { Some(self.replace_idle_connection(server)?) } else { None };
         let max_silence = self.servers.heartbeats.get(&server).and_then(HeartbeatMonitor::max_silence);
         let connection = ServerConnection::new(server, address, now, max_silence);
@@ -126,7 +128,8 @@
 
     /// Closes the idle connection with the oldest last message and returns its id; `None` if no connection is idle.
     fn replace_idle_connection(&mut self, server: ServerId) -> Option<ConnectionId> {
-        let idle = self.servers.connections_of(server).filter(|(_, connection)| connection.is_idle());
+        let listed = self.servers.connections_of(server).filter(|(_, c)| c.removed_at.is_none());
+        let idle = listed.filter(|(_, connection)| connection.is_idle());
         let (id, _) = idle.min_by_key(|(_, connection)| connection.last_received_at)?;
         let connection = self.servers.connections.get_mut(&id)?;
         connection.outbox.close();
@@ -169,7 +172,7 @@
             // The dial was refused and no other connection is open: the server's process has ended, and its calls
             // with it. A draining server does not listen either, but keeps its connections until its calls have ended
             // (on a recorded day, one refused dial ended 81 calls 2 s before their server did).
-            self.feed(Input::ServerTerminated { server, at: now });
+            self.end_calls_at_server(server, now, ServerEndReason::Refused);
         }
     }
 
@@ -196,7 +199,8 @@
         // it accepts the next, or it does not repeat the report: on recorded days with silent connections, one call
         // in some 2,000 was lost by a close 2 ms before the next dial. A replaced connection needs no redial, because
         // its replacement is dialled after the same delay.
-        if self.servers.has_established_calls(server) && !connection.is_replaced {
+        let is_listed = connection.removed_at.is_none();
+        if is_listed && self.servers.has_established_calls(server) && !connection.is_replaced {
             self.servers.redial_from.insert(server, clock::now() + CLOSE_PROPAGATION_TIME);
         }
         for release in std::mem::take(&mut connection.unconfirmed_releases) {
@@ -215,6 +219,11 @@
             }
         }
         self.return_queued(server, connection.queued);
+        if !is_listed {
+            for attempt in self.servers.attempts_on(id) {
+                self.feed(Input::AttemptLost(attempt));
+            }
+        }
         self.maintain_servers(clock::now());
     }
 
@@ -266,6 +275,12 @@
         }
     }
 
+    /// The attempts on a connection, pending or established.
+    fn attempts_on(&self, id: ConnectionId) -> Vec<AttemptId> {
+        let entries = self.attempts.values().filter(|entry| entry.connection == id);
+        entries.map(|entry| entry.attempt).collect()
+    }
+
     /// Retires all connections of a server.
     pub(super) fn retire(&mut self, server: ServerId) {
         for connection in self.connections.values_mut().filter(|connection| connection.server == server) {
@@ -280,15 +295,21 @@
         }
     }
 
-    /// Closes retired connections on which nothing is unanswered or queued, or whose heartbeat has stopped.
+    /// Closes retired connections on which nothing is unanswered or queued, or whose heartbeat has stopped. Those to a
+    /// removed server are kept while it has calls.
     pub(super) fn close_retired(&mut self, now: Micros) {
-        for connection in self.connections.values_mut() {
+        let any_removed = self.connections.values().any(|connection| connection.removed_at.is_some());
+        let with_calls = if any_removed { self.connections_with_calls() } else { BTreeSet::new() };
+        for (id, connection) in &mut self.connections {
             connection.expire_confirmed(now);
             // No answer comes in time on a broken connection, and another is up. Closing it ends its set-ups now, so
             // that retries can still succeed in time. (On recorded days with silent connections, set-ups were awaited
             // until they timed out, and their server was excluded as overloaded although it was not.)
             let is_done = connection.unanswered.is_empty() && connection.queued.is_empty();
-            if connection.is_retired && (is_done || connection.has_lost_heartbeat(now)) {
+            let is_kept = connection.removed_at.is_some() && with_calls.contains(id);
+            if connection.is_retired && !is_kept && (is_done || connection.has_lost_heartbeat(now)) {
+                let silent_ms = now.saturating_sub(connection.last_received_at) / 1000;
+                tracing::debug!(target: "link", id, silent_ms, "closes a connection to a server");
                 connection.outbox.close();
             }
         }
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -34,7 +34,7 @@
 use clients::Caller;
 use dialog::Dialog;
 use message::{Message, param};
-use servers::Leg;
+use servers::{Leg, RemovedServer};
 use transaction::{ClientMachine, ServerMachine, TimerAction, Timers};
 use transport::{Peer, Transport};
 
@@ -62,6 +62,8 @@
 enum Purpose {
     Invite(AttemptId),
     Probe(ServerId),
+    /// OPTIONS to a server that was removed from the list: any response shows that it works.
+    RemovalCheck(ServerId),
     /// CANCEL or BYE: the response has no effect.
     IgnoreResponse,
 }
@@ -103,8 +105,8 @@
     callers: HashMap<CallId, Caller>,
     legs: BTreeMap<AttemptId, Leg>,
     probes: BTreeMap<ServerId, Micros>,
-    /// Servers removed from the list: when they were removed, and when their calls count as lost.
-    removed_servers: BTreeMap<ServerId, (Micros, Micros)>,
+    /// Servers with calls that were removed from the list and have not answered since.
+    removed_servers: BTreeMap<ServerId, RemovedServer>,
     last_call_id: u64,
     token_state: u64,
     weak_self: Weak<RefCell<SipFrontend>>,
@@ -203,12 +205,6 @@
         let scope = EndpointListScope::Complete;
         self.driver.list_received_at = Some(now);
         let (entries, changes) = self.directory.apply(scope, list);
-        for server in self.directory.servers().collect::<Vec<_>>() {
-            // A new process at the address: the calls of the previous one are lost, new calls are not affected.
-            if let Some((at, _)) = self.removed_servers.remove(&server) {
-                self.server_terminated(server, at);
-            }
-        }
         self.feed(Input::EndpointList { notified_at, scope, entries });
         for server in &changes.closed {
             tracing::info!(
@@ -221,7 +217,7 @@
             self.server_terminated(*server, *at);
         }
         for server in &changes.removed {
-            self.removed_servers.insert(*server, (now, now + servers::RELEASE_GRACE));
+            self.check_removed_server(*server, now);
         }
     }
 
@@ -356,6 +352,7 @@
             }
             Command::CancelAttempt { attempt, .. } => self.abandon_attempt(attempt),
             Command::ReleaseAtServer { attempt, .. } => self.release_leg(attempt),
+            Command::ReleaseIfConnected { .. } => {} // a leg of an ended process has been removed
             Command::Accept { call, description } => self.send_answer(call, description),
             Command::Reject { call, retry_after } => self.reject_call(call, retry_after),
             Command::Fail { call } => self.fail_call(call),
--- a/src/sip/servers.rs
+++ b/src/sip/servers.rs
@@ -22,8 +22,16 @@
 /// Retransmissions stop this long before the drain window ends: the message must also arrive within the window, and
 /// either side may be delayed on a busy machine.
 const DRAIN_WINDOW_MARGIN: Micros = 100_000;
-/// Time from the removal of a server until its calls count as lost: BYEs from it may still be in transit.
-pub(super) const RELEASE_GRACE: Micros = 500_000;
+/// Time after its removal from the list in which a server must answer, or its calls count as lost. It covers several
+/// retransmissions, and BYEs that the server sent before its end.
+const REMOVAL_GRACE: Micros = 2_000_000;
+
+/// A server that was removed from the list and has not answered since.
+pub(super) struct RemovedServer {
+    notified_at: Micros,
+    /// When its calls count as lost.
+    lost_at: Micros,
+}
 
 /// The call leg of one attempt. It is kept for some time after its end, to handle late responses to its INVITE.
 pub(super) struct Leg {
@@ -112,6 +120,22 @@
     pub(super) fn send_probe(&mut self, server: ServerId) {
         let Some(to) = self.directory.address(server) else { return };
         let peer = if self.servers_use_tcp { Peer::Tcp(to, None) } else { Peer::Udp(to) };
+        self.probes.insert(server, clock::now() + PROBE_TIMEOUT);
+        self.send_options(peer, Purpose::Probe(server));
+    }
+
+    /// Handles a server whose records have vanished. It gets no new calls, as in a drain. Records may be late or flap, so
+    /// an OPTIONS request shows whether the server still works and has its calls.
+    pub(super) fn check_removed_server(&mut self, server: ServerId, now: Micros) {
+        let mut legs = self.legs.values().filter(|leg| leg.server == server && !leg.ended);
+        let Some(peer) = legs.next().map(|leg| leg.peer) else { return };
+        let removed = RemovedServer { notified_at: now, lost_at: now + REMOVAL_GRACE };
+        self.removed_servers.insert(server, removed);
+        self.send_options(peer, Purpose::RemovalCheck(server));
+    }
+
+    fn send_options(&mut self, peer: Peer, purpose: Purpose) {
+        let (Peer::Udp(to) | Peer::Tcp(to, _)) = peer;
         let mut options = Message::request("OPTIONS", &format!("sip:{to}"));
         let own = self.transport.udp_address;
         options.add("Max-Forwards", "70");
@@ -120,8 +144,7 @@
         options.add("Call-ID", &format!("{}@{}", self.new_token(), own.ip()));
         options.add("CSeq", "1 OPTIONS");
         let branch = self.new_branch();
-        self.probes.insert(server, clock::now() + PROBE_TIMEOUT);
-        self.start_client_transaction(peer, options, Purpose::Probe(server), branch);
+        self.start_client_transaction(peer, options, purpose, branch);
     }
 
     /// Handles a response; one that matches no transaction is dropped.
@@ -149,6 +172,12 @@
                 let (answered, load) = (code != 503, LoadReport::default());
                 self.feed(Input::Load { server, answered, load });
             }
+            (ResponseAction::PassUp, Purpose::RemovalCheck(server))
+                if code >= 200 && self.removed_servers.remove(&server).is_some() =>
+            {
+                let name = self.directory.name(server);
+                tracing::info!(server = name, "a server removed from the list works: its calls go on");
+            }
             _ => {}
         }
     }
@@ -430,11 +459,24 @@
         for attempt in expired {
             self.remove_leg(attempt);
         }
-        let removed: Vec<ServerId> =
-            self.removed_servers.iter().filter(|(_, (_, at))| due(at)).map(|(s, _)| *s).collect();
-        for server in removed {
-            self.removed_servers.remove(&server);
-            self.server_terminated(server, now);
+        let is_lost = |(_, removed): &(&ServerId, &RemovedServer)| due(&removed.lost_at);
+        let lost: Vec<ServerId> =
+            self.removed_servers.iter().filter(is_lost).map(|(server, _)| *server).collect();
+        for server in lost {
+            self.end_calls_at_removed_server(server);
+        }
+    }
+
+    /// Ends the calls at a removed server that has not answered, on both sides: it may still have them.
+    fn end_calls_at_removed_server(&mut self, server: ServerId) {
+        let Some(removed) = self.removed_servers.remove(&server) else { return };
+        let is_lost = |leg: &Leg| leg.server == server && !leg.ended && leg.sent_at <= removed.notified_at;
+        let lost = self.legs.iter().filter(|(_, leg)| is_lost(leg)).map(|(attempt, _)| *attempt);
+        let lost: Vec<AttemptId> = lost.collect();
+        let (name, calls) = (self.directory.name(server), lost.len());
+        tracing::info!(server = name, calls, "ends the calls at a removed server that does not answer");
+        for attempt in lost {
+            self.feed(Input::AttemptLost(attempt));
         }
     }
 }
--- a/tests/limits_properties.rs
+++ b/tests/limits_properties.rs
@@ -210,6 +210,7 @@
                     prop_assert!(false, "an invariant does not hold: {violation}")
                 }
                 Command::ReleaseAtServer { .. }
+                | Command::ReleaseIfConnected { .. }
                 | Command::ReleaseToCaller { .. }
                 | Command::CheckHealth(_)
                 | Command::CloseIdle(_)
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -463,6 +463,95 @@
     assert_eq!(new.expect("START")["tag"], "00000000000000a2");
 }
 
+/// A server that the list has dropped, with a call and an unanswered set-up. Returns what the tests below need of it.
+struct RemovedServer {
+    _listener: TcpListener,
+    _program: Program,
+    resolver: Resolver,
+    server: Lines,
+    other: Lines,
+    caller: Lines,
+}
+
+const PENDING_TAG: &str = "00000000000000b2";
+/// The resolver's questions in somewhat more time than a server that was removed has to show that it works, and the
+/// release wait of its set-ups.
+const QUESTIONS_IN_REMOVAL: u32 = 8;
+
+impl RemovedServer {
+    /// Establishes a call at the server and begins a set-up there, then removes the server from the list.
+    fn new(before: impl FnOnce(&mut Lines)) -> RemovedServer {
+        let (listener, address) = listen();
+        let (other_listener, other_address) = listen();
+        let resolver = Resolver::new(vec![line("s-1", address, 0), line("s-2", other_address, 1)]);
+        let (program, gatekeeper) = Program::platform(&resolver, settings());
+        let mut server = Lines::accept(&listener);
+        let other = Lines::accept(&other_listener);
+        let mut caller = Lines::connect(gatekeeper);
+        caller.start(TAG, 9000, 0);
+        let start = server.expect("START");
+        server.started(&start["tag"]);
+        caller.expect("STARTED");
+        caller.start(PENDING_TAG, 9000, 0);
+        server.expect("START");
+        before(&mut server);
+        let serial = resolver.change(0, |list| list.retain(|entry| entry.id != "s-1"));
+        resolver.told(serial);
+        RemovedServer { _listener: listener, _program: program, resolver, server, other, caller }
+    }
+}
+
+/// Guards against two attempts of a call at once: the list, which is seconds late, drops a server that works. Its set-up
+/// is not sent to another server, and its call is not cut.
+#[rstest]
+#[case::it_reports_its_load(true)]
+#[case::it_answers_a_health_check(false)]
+fn removed_server_that_works_keeps_its_set_up_and_its_call(#[case] reports: bool) {
+    let mut site = RemovedServer::new(|server| {
+        if reports {
+            let state = json!({"verb": "LOAD", "tag": "00000000000000aa", "opts": {"load": "x0:12;x1:40"}});
+            server.keeps_saying(state, Duration::from_millis(20));
+        }
+    });
+    let RemovedServer { resolver, server, other, caller, .. } = &mut site;
+    if !reports {
+        let check = server.expect("ECHO");
+        server.say(json!({"verb": "ECHOED", "tag": check["tag"], "opts": {}, "rc": 1}));
+    }
+    resolver.asked_often(QUESTIONS_IN_REMOVAL);
+    other.nothing_but_an_echo_of_its_own();
+    caller.nothing_but_an_echo();
+    server.started(&json!(PENDING_TAG));
+    assert_eq!(caller.expect("STARTED")["tag"], PENDING_TAG);
+    server.finish(&json!(TAG), 16, json!({}));
+    let release = caller.expect("FINISH");
+    assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(16)));
+    server.until("FINISHED", TAG);
+    caller.finish(&json!(PENDING_TAG), 16, json!({}));
+    caller.expect("FINISHED");
+    server.until("FINISH", PENDING_TAG);
+}
+
+/// A server that was removed and is silent may still work on what it has: before its set-up goes to another server it
+/// is cancelled, and its call is released on both sides.
+#[test]
+fn removed_server_that_is_silent_is_sent_the_ends_of_its_calls() {
+    let mut site = RemovedServer::new(|_| ());
+    let RemovedServer { server, other, caller, .. } = &mut site;
+    let retry = other.expect("START");
+    assert_eq!(retry["tag"], PENDING_TAG);
+    let release = caller.expect("FINISH");
+    assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(41)));
+    let text = server.until_closed();
+    let messages = text.lines().map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap());
+    let mut finished: Vec<String> = messages
+        .filter(|message| message["verb"] == "FINISH")
+        .map(|message| message["tag"].as_str().unwrap().to_string())
+        .collect();
+    finished.sort();
+    assert_eq!(finished, [PENDING_TAG, TAG]);
+}
+
 #[rstest]
 #[case::no_left(r#""opts":{"class":"check-setup","key":"01"},"blob":"d""#)]
 #[case::left_is_not_a_number(r#""opts":{"class":"check-setup","key":"01","left":"soon"},"blob":"d""#)]
--- a/tests/sip.rs
+++ b/tests/sip.rs
@@ -512,6 +512,51 @@
     assert_eq!(other.count("BYE"), 0, "the new call was released with the earlier one");
 }
 
+/// A call at a server, and an INVITE that the server works on; then the server's records vanish. Returns the INVITEs.
+fn server_without_records(transport: Transport) -> (Setup, Got, Got) {
+    let (mut setup, established, _) = established_call(transport, "c40");
+    setup.caller.invite("c41");
+    let pending = setup.server.expect("INVITE");
+    setup.server.answer(&pending, "100 Trying", "", "");
+    let gone = setup.resolver.change(0, Vec::clear);
+    setup.resolver.told(gone);
+    (setup, established, pending)
+}
+
+/// Guards against two attempts of a call at once: the records of a server that works vanish. Its set-up is not given up,
+/// and its call is not cut.
+#[rstest]
+#[case::udp(Transport::Udp)]
+#[case::tcp(Transport::Tcp)]
+fn server_that_works_without_its_records_keeps_its_set_up_and_its_call(#[case] transport: Transport) {
+    let (mut setup, established, pending) = server_without_records(transport);
+    let options = setup.server.expect("OPTIONS");
+    setup.server.answer(&options, "200 OK", "", "");
+    setup.resolver.asked_often(12); // longer than a server without records has to answer
+    setup.server.answer(&pending, "200 OK", "far-2", "v=0\r\n");
+    let ok = setup.caller.expect("SIP/2.0 200");
+    assert_eq!(ok.get("Call-ID"), "c41");
+    setup.caller.in_dialog(&ok, "ACK", 1);
+    assert_eq!((setup.caller.count("BYE"), setup.server.count("CANCEL")), (0, 0));
+    setup.server.bye_from_server(&established, "far");
+    assert_eq!(setup.caller.expect("BYE").get("Call-ID"), "c40");
+}
+
+/// A server whose records have vanished and that does not answer may still have its calls: they are ended at the
+/// server, too.
+#[rstest]
+#[case::udp(Transport::Udp)]
+#[case::tcp(Transport::Tcp)]
+fn server_that_is_silent_without_its_records_is_sent_the_ends_of_its_calls(#[case] transport: Transport) {
+    let (mut setup, _, pending) = server_without_records(transport);
+    assert_eq!(setup.caller.expect("BYE").get("Call-ID"), "c40");
+    while setup.server.count("BYE") == 0 || setup.server.count("CANCEL") == 0 {
+        setup.server.next(PATIENCE).expect("a BYE and a CANCEL");
+    }
+    let ended = setup.server.got.iter().find(|got| got.is("CANCEL")).unwrap();
+    assert_eq!(ended.get("Call-ID"), pending.get("Call-ID"));
+}
+
 /// Connections to the address of a server are refused: its process has ended, and its calls are released.
 #[test]
 fn calls_of_a_terminated_server_are_released_to_their_callers() {
