Send a call's release to its own caller only, and pass waiting ones to a newer process

What callers saw: an office without a connection at the end of its call never heard of it. The release went to another office, connected then or the first to place a call afterwards, and counted as sent.

Cause: the belief that every connection on which a call was placed leads to the same caller. Hypotheses: the server's word not handled, the release dropped or expired, or written to somebody else.

Change: a release goes out on the call's own connection, else on another of the same address, else it waits for one. Releases that wait in the old process of an upgrade are passed on when the new one serves, since the next connection is to that one. This works because a release now stays pending until a connection of its own caller is there.

Related paths. By tests: connected and waiting releases, a call that was handed over, a release that waits as the new process appears. By reading: SIP (a BYE goes to the dialog's own peer), drain (idle connections close, releases wait for the next one), reload (changes no caller). The settings of either deployment say nothing of callers' connections.

--- a/src/platform/clients/connections.rs
+++ b/src/platform/clients/connections.rs
@@ -166,9 +166,8 @@
 
 impl Clients {
     fn add_connection(&mut self, id: ConnectionId, connection: ClientConnection) {
-        let peer = connection.peer;
         self.connections.insert(id, connection);
-        self.send_pending_releases(id, |caller| caller == peer);
+        self.send_pending_releases(id);
     }
 
     /// Ensures that one more connection may be accepted; false if not. The limit keeps file descriptors free for
@@ -225,6 +224,6 @@
     pub(super) fn record_use(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.last_used_at = Some(clock::now());
-        self.send_pending_releases(id, |_| true);
+        self.send_pending_releases(id);
     }
 }
--- a/src/platform/clients/releases.rs
+++ b/src/platform/clients/releases.rs
@@ -83,30 +83,42 @@
             None => Some(release),
         };
         let Some(release) = unsent else { return };
-        if let Some(successor) = &self.successor {
-            let (peer, completed) = (release.peer, release.completed);
-            let message = HandoverMessage::PendingRelease { tag: tag.to_string(), peer, completed };
-            if successor.push(&message.to_line()).is_some() {
-                return;
-            }
+        if self.pass_to_successor(tag, &release) {
+            return;
         }
         self.trace.record(clock::now(), release.call, TraceStep::ReleasePending);
         self.pending_releases.push_back((tag, release));
     }
 
-    /// The connection for a release: the preferred one, else another of the same peer, else any on which a request
-    /// came.
+    /// Passes a release to the newer process of an upgrade; false if there is none.
+    fn pass_to_successor(&self, tag: Tag, release: &Release) -> bool {
+        let Some(successor) = &self.successor else { return false };
+        let (peer, completed) = (release.peer, release.completed);
+        let message = HandoverMessage::PendingRelease { tag: tag.to_string(), peer, completed };
+        successor.push(&message.to_line()).is_some()
+    }
+
+    /// Passes all pending releases to the newer process of an upgrade, if there is one: their callers' next connections
+    /// are to that process.
+    pub(in crate::platform) fn pass_pending_releases(&mut self) {
+        for (tag, release) in std::mem::take(&mut self.pending_releases) {
+            if !self.pass_to_successor(tag, &release) {
+                self.pending_releases.push_back((tag, release));
+            }
+        }
+    }
+
+    /// The connection for a release: the preferred one, else another of the same peer. Any other peer would read the
+    /// release without effect, and the call's own caller would never get it.
     fn best_connection(&self, preferred: ConnectionId, peer: IpAddr) -> Option<ConnectionId> {
-        let is_eligible = |connection: &ClientConnection| {
-            connection.outbox.is_open() && (connection.last_used_at.is_some() || connection.peer == peer)
-        };
+        let is_eligible =
+            |connection: &ClientConnection| connection.outbox.is_open() && connection.peer == peer;
         if self.connections.get(&preferred).is_some_and(is_eligible) {
             return Some(preferred);
         }
         let eligible = self.connections.iter().filter(|(_, connection)| is_eligible(connection));
-        let rank = |(id, connection): &(&ConnectionId, &ClientConnection)| {
-            (connection.peer != peer, connection.last_used_at.is_none(), **id)
-        };
+        let rank =
+            |(id, connection): &(&ConnectionId, &ClientConnection)| (connection.last_used_at.is_none(), **id);
         eligible.min_by_key(rank).map(|(id, _)| *id)
     }
 
@@ -125,13 +137,12 @@
         None
     }
 
-    /// Sends those pending releases on this connection whose callers' addresses are eligible. Before its first
-    /// request a connection is eligible only for releases to its own address: another client would read them without
-    /// effect.
-    pub(super) fn send_pending_releases(&mut self, id: ConnectionId, is_eligible: impl Fn(IpAddr) -> bool) {
+    /// Sends the pending releases of this connection's peer on it.
+    pub(super) fn send_pending_releases(&mut self, id: ConnectionId) {
+        let Some(peer) = self.connections.get(&id).map(|connection| connection.peer) else { return };
         for (tag, release) in std::mem::take(&mut self.pending_releases) {
             let unsent =
-                if is_eligible(release.peer) { self.send_release(id, tag, release) } else { Some(release) };
+                if release.peer == peer { self.send_release(id, tag, release) } else { Some(release) };
             self.pending_releases.extend(unsent.map(|release| (tag, release)));
         }
     }
--- a/src/platform/handover.rs
+++ b/src/platform/handover.rs
@@ -171,6 +171,7 @@
         self.driver.gateway.set_limits_shared(role.is_shared());
         self.clients.set_shared(role.is_shared());
         self.clients.successor = self.peer_process.outbox.clone().filter(|_| role.has_successor());
+        self.clients.pass_pending_releases();
     }
 
     pub(super) fn send_to_peer_process(&mut self, message: &HandoverMessage) {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -610,6 +610,14 @@
         Lines::on(TcpStream::connect(to).unwrap())
     }
 
+    /// Connects from this address, as a caller on another host does.
+    pub fn connect_from(source: [u8; 4], to: SocketAddr) -> Lines {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from((source, 0)).into()).unwrap();
+        socket.connect(&to.into()).unwrap();
+        Lines::on(socket.into())
+    }
+
     pub fn peer(&self) -> SocketAddr {
         self.stream.peer_addr().unwrap()
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -98,6 +98,44 @@
     assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(16)));
 }
 
+/// Addresses of two callers.
+const OFFICE: [u8; 4] = [127, 0, 0, 2];
+const OTHER_OFFICE: [u8; 4] = [127, 0, 0, 3];
+
+/// Guards against a release that goes to another caller and never to its own: the caller has no connection when its
+/// call ends, while another caller has one, or opens one first.
+#[rstest]
+#[case::other_is_connected(true)]
+#[case::other_connects_first(false)]
+fn release_waits_for_its_own_caller(#[case] other_is_connected: bool) {
+    let (listener, server_address) = listen();
+    let resolver = Resolver::new(vec![line("s-1", server_address, 0)]);
+    let (_program, gatekeeper) = Program::platform(&resolver, settings());
+    let mut server = Lines::accept(&listener);
+    let mut establish = |source: [u8; 4], tag: &str| {
+        let mut caller = Lines::connect_from(source, gatekeeper);
+        caller.start(tag, 3000, 0);
+        let start = server.expect("START");
+        server.started(&start["tag"]);
+        caller.expect("STARTED");
+        caller
+    };
+    let caller = establish(OFFICE, TAG);
+    let connected = other_is_connected.then(|| establish(OTHER_OFFICE, "00000000000000b2"));
+    caller.close();
+    resolver.asked_anew(); // the program has handled the end of the connection by then
+    server.finish(&json!(TAG), 16, json!({}));
+    server.expect("FINISHED");
+    let mut other = connected.unwrap_or_else(|| Lines::connect_from(OTHER_OFFICE, gatekeeper));
+    other.start("00000000000000c3", 3000, 0);
+    let start = server.expect("START");
+    server.started(&start["tag"]);
+    assert_eq!(other.expect("STARTED")["tag"], "00000000000000c3", "it is sent no other caller's release");
+    other.nothing_but_an_echo();
+    let release = Lines::connect_from(OFFICE, gatekeeper).expect("FINISH");
+    assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(16)));
+}
+
 /// Starts a gatekeeper and establishes a call. Returns the server's listener, the program, the gatekeeper's address,
 /// its connection to the server, and the caller's connection.
 fn established_call() -> (TcpListener, Program, SocketAddr, Lines, Lines) {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -129,6 +129,44 @@
     assert_eq!((&finish["tag"], &finish["rc"]), (&json!(TAG), &json!(16)));
 }
 
+/// Guards against a release that goes to another caller: the new process has no connection of the call's caller, and
+/// another caller is the first to place a call.
+#[test]
+fn release_of_a_call_handed_over_waits_for_its_own_caller() {
+    let (deployment, listener, _new, mut server_connection) = complete_handover();
+    server_connection.finish(&json!(TAG), 16, json!({}));
+    server_connection.expect("FINISHED");
+    let mut other = Lines::connect_from([127, 0, 0, 3], deployment.address);
+    other.start("00000000000000b2", 3000, 0);
+    let start = server_connection.expect("START");
+    server_connection.started(&start["tag"]);
+    assert_eq!(other.expect("STARTED")["tag"], "00000000000000b2", "it is sent no other caller's release");
+    other.nothing_but_an_echo();
+    assert_eq!(Lines::connect(deployment.address).expect("FINISH")["tag"], TAG);
+    drop(listener);
+}
+
+/// Guards against a release that stays behind in the old process: it waits there for its caller when the new process
+/// appears, and the caller's next connection is to the new process.
+#[test]
+fn release_pending_before_the_upgrade_is_sent_by_the_new_process() {
+    let (listener, server_address) = listen();
+    let deployment = Deployment::new(server_address);
+    let (mut old, _) = deployment.start();
+    let mut server = accept_server_connection(&listener);
+    establish_call(deployment.address, &mut server, TAG).close();
+    deployment.resolver.asked_anew(); // the old process has handled the end of the connection by then
+    server.finish(&json!(TAG), 16, json!({}));
+    server.expect("FINISHED");
+    let (_new, new_admin) = deployment.start();
+    let _new_connection = accept_server_connection(&listener);
+    eventually("the new process is ready", || is_ready(new_admin).then_some(()));
+    old.logged("a newer process serves beside this one");
+    old.terminate();
+    assert!(old.ended().success());
+    assert_eq!(Lines::connect(deployment.address).expect("FINISH")["tag"], TAG);
+}
+
 /// A set-up, the release of an established call, and SIGTERM all arrive before the old process runs again. The old
 /// process answers the set-up once, the new process continues that call, and the server receives each release once.
 #[rstest]
