Dial again while a server may not have detected the end of a connection

What callers saw: one connection to a server was silent for 2 s, a call there ended meanwhile, and its caller never heard of it.

Cause: the belief that a server has detected the end of a connection 50 ms after this side closed it. The connection was closed because its link was silent, so the server detected nothing. It said the end into the closed connection, and the one repeated dial had come before that. Hypotheses: the repetition came and was not handled; no connection was opened after the server's word; the held word was read too late.

Change: link::run says which side ended a connection. This works because a server repeats a release on the next connection that is opened, whenever that is.

Related paths. By tests: the close of a silent connection; a planned upgrade, where the new process now dials again when the old one's connections are gone. By reading: connections closed to make room, lines cut short, a changed address (all counted now); drain and reload close no connection to a server; SIP servers' BYEs are not tied to one.

Tests: both new ones failed before the fix (no further connection came). complete_handover in tests/upgrade.rs takes the newest connection, on which messages to the server now arrive, and first proves that it is in use; what its tests ask is the same.

--- a/src/link.rs
+++ b/src/link.rs
@@ -39,6 +39,15 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
+/// Which side ended a connection in good order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndedBy {
+    /// The peer closed it.
+    Peer,
+    /// This side closed it. The peer detects that only once the link carries it.
+    ThisSide,
+}
+
 /// Identifies a message in an outbox. Tickets increase in the order in which messages are queued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
@@ -261,14 +270,14 @@
     message_timeout: Duration,
     on_bytes: impl FnMut(&mut BytesMut) -> bool,
     on_drained: impl FnMut(),
-) -> io::Result<()> {
+) -> io::Result<EndedBy> {
     let (input, output) = stream.split_halves();
     let mut reading = std::pin::pin!(read(input, message_timeout, on_bytes));
     let written = tokio::select! {
         biased;
         result = &mut reading => {
             outbox.close();
-            return result;
+            return result.map(|()| EndedBy::Peer);
         }
         result = write(output, outbox, on_drained) => result,
     };
@@ -283,7 +292,7 @@
         read_pending_input().await;
     };
     tokio::select! { biased; _ = reading => {}, () = rest => {} }
-    written
+    written.map(|()| EndedBy::ThisSide)
 }
 
 async fn read(
--- a/src/platform/servers/connection.rs
+++ b/src/platform/servers/connection.rs
@@ -1,6 +1,7 @@
 //! The state of one connection to a setup server.
 
 use std::collections::{HashMap, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,11 +9,12 @@
 
 use crate::clock;
 use crate::gateway::AttemptId;
-use crate::link::{Outbox, Ticket};
+use crate::link::{EndedBy, Outbox, Ticket};
 use crate::{Micros, ServerId};
 
 use super::super::line::{Tag, cause, encode};
 use super::health::{REMOVAL_GRACE, UNREACHABLE_TIMEOUT};
+use super::pool::RECENT_MESSAGE_AGE;
 use super::{CANCELLED_RETENTION, MAX_RELEASES};
 
 /// A connection on which an answer is awaited and no message came for this long is suspect: a broken link gives no
@@ -132,6 +134,18 @@
         self.is_up && self.max_silence.is_some_and(|max| now > self.silent_since + max)
     }
 
+    /// Whether the server may not know that this connection has ended: this side ended it while it was silent. If its
+    /// link is broken, the server detects the end only when the link works again or its own writes fail; what it says
+    /// on the connection until then is lost.
+    pub fn may_end_undetected(&self, ended: &io::Result<EndedBy>, now: Micros) -> bool {
+        let is_silent = self.is_suspect(now) || now >= self.last_received_at + RECENT_MESSAGE_AGE;
+        match ended {
+            Ok(EndedBy::Peer) => false,
+            Ok(EndedBy::ThisSide) => is_silent,
+            Err(error) => error.kind() == io::ErrorKind::TimedOut,
+        }
+    }
+
     /// Whether its server was removed from the list and counts as lost: nothing was heard of it in time after the
     /// removal, or nothing for long since then. Messages from before the removal show nothing, and the list may be
     /// seconds late: a server that was heard after it has returned, or was never gone.
--- a/src/platform/servers/health.rs
+++ b/src/platform/servers/health.rs
@@ -236,7 +236,7 @@
             connection.removed_at.get_or_insert(now);
         }
         self.pending_releases.remove(&server);
-        self.redial_from.remove(&server);
+        self.redials.remove(&server);
         self.heartbeats.remove(&server);
         self.backoffs.remove(&server);
     }
--- a/src/platform/servers/mod.rs
+++ b/src/platform/servers/mod.rs
@@ -53,6 +53,17 @@
     /// The connection on which it was sent.
     connection: ConnectionId,
     is_established: bool,
+    /// Until when the server may report the call's end on a connection that has ended without its knowledge.
+    end_missable_until: Option<Micros>,
+}
+
+/// A dial that makes a server repeat the ends of calls that it may have reported on an ended connection.
+#[derive(Clone, Copy)]
+struct Redial {
+    /// A connection that is dialled at this time or later serves.
+    from: Micros,
+    /// It follows an earlier one, because the server may not have detected the end of the connection by then.
+    is_repeat: bool,
 }
 
 /// All setup servers and the connections to them.
@@ -72,9 +83,8 @@
     last_received_at: BTreeMap<ServerId, Micros>,
     /// Releases for servers without a usable connection.
     pending_releases: BTreeMap<ServerId, VecDeque<Tag>>,
-    /// Servers whose reports of ended calls may have been lost with an ended connection. A connection that is dialled
-    /// at this time or later receives them again.
-    redial_from: BTreeMap<ServerId, Micros>,
+    /// Servers whose reports of ended calls may have been lost with an ended connection.
+    redials: BTreeMap<ServerId, Redial>,
     /// Servers that were removed from the list, and when their calls without an open connection count as lost.
     removed: BTreeMap<ServerId, Micros>,
 }
@@ -93,7 +103,7 @@
             last_maintained_at: 0,
             last_received_at: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
-            redial_from: BTreeMap::new(),
+            redials: BTreeMap::new(),
             removed: BTreeMap::new(),
         }
     }
@@ -119,7 +129,8 @@
     /// Adds an established call that another process handed over. It has no connection of this process.
     pub(super) fn adopt_call(&mut self, key: CallKey, call: CallId) -> AttemptId {
         let attempt = AttemptId { call, number: 0 };
-        let entry = AttemptEntry { attempt, connection: super::NO_CONNECTION, is_established: true };
+        let connection = super::NO_CONNECTION;
+        let entry = AttemptEntry { attempt, connection, is_established: true, end_missable_until: None };
         self.attempts.insert(key, entry);
         self.by_call.insert(call, key);
         attempt
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -806,6 +806,34 @@
     caller.expect("STARTED");
 }
 
+/// Guards against a call whose end its caller never hears: the server says it on a connection that has fallen silent
+/// and that the gatekeeper has closed, which the server does not detect. The server repeats it on the next connection
+/// that is opened, however late its first word was.
+#[test]
+fn end_of_a_call_said_on_a_silent_connection_is_heard_on_a_later_one() {
+    let (listener, _program, mut server, mut caller) = gatekeeper_with_caller();
+    let state = json!({"verb": "LOAD", "tag": "00000000000000aa", "opts": {"load": "x0:12;x1:40"}});
+    caller.start(TAG, 8000, 0);
+    let start = server.expect("START");
+    server.started(&start["tag"]);
+    caller.expect("STARTED");
+    for _ in 0..6 {
+        server.say(state.clone());
+        std::thread::sleep(Duration::from_millis(60)); // the report interval
+    }
+    let report_on = |connection: &Lines| connection.keeps_saying(state.clone(), Duration::from_millis(20));
+    let second = Lines::accept(&listener); // replaces the silent one
+    report_on(&second);
+    assert_eq!(server.until_closed(), "", "the silent connection is closed");
+    let third = Lines::accept(&listener); // repeats what crossed the close
+    report_on(&third);
+    let ended_at = Instant::now(); // the server says so on the first connection, which to it is still open
+    let mut fourth = Lines::accept(&listener);
+    fourth.finish(&json!(TAG), 16, json!({}));
+    assert_eq!(caller.expect("FINISH")["tag"], TAG);
+    assert!(ended_at.elapsed() < Duration::from_secs(8), "{:?}", ended_at.elapsed());
+}
+
 /// While the gatekeeper is out of service, callers' health checks fail, and a connection is closed once it has no
 /// open set-up and no established call. Back in service, connections are accepted and health checks pass again.
 #[test]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -99,15 +99,20 @@
 }
 
 /// Establishes a call at the old process, then completes the upgrade: the old process exits, and the new one takes
-/// over.
+/// over. The new one then dials again, because the server may have reported the call's end to the old one; messages to
+/// the server arrive on that connection, which is the newest.
 fn complete_handover() -> (Deployment, TcpListener, Program, Lines) {
     let ProcessPair {
-        deployment, listener, mut old, new, new_connection: server_connection, mut caller, ..
+        deployment, listener, mut old, new, old_connection, new_connection, mut caller, ..
     } = start_process_pair();
     old.terminate();
     assert!(old.ended().success());
     assert_eq!(caller.text(), "", "the connection must close without a release of the call");
-    (deployment, listener, new, server_connection)
+    let mut newest = accept_server_connection(&listener);
+    newest.nothing_but_an_echo_of_its_own();
+    drop(old_connection);
+    drop(new_connection.answers_by_itself()); // stays open
+    (deployment, listener, new, newest)
 }
 
 #[test]
@@ -129,6 +134,24 @@
     assert_eq!((&finish["tag"], &finish["rc"]), (&json!(TAG), &json!(16)));
 }
 
+/// Guards against a call whose end its caller never hears: the server says it on a connection of the old process that
+/// it does not know to be closed, and repeats it on the next connection that is opened.
+#[test]
+fn end_of_a_call_said_to_the_old_process_is_heard_by_the_new_one() {
+    let ProcessPair { deployment, listener, mut old, new: _new, old_connection, new_connection, .. } =
+        start_process_pair();
+    let state = json!({"verb": "LOAD", "tag": "00000000000000aa", "opts": {"load": "x0:12;x1:40"}});
+    for connection in [&old_connection, &new_connection] {
+        connection.keeps_saying(state.clone(), Duration::from_millis(20)); // neither is silent
+    }
+    old.terminate();
+    assert!(old.ended().success());
+    let mut next = accept_server_connection(&listener);
+    next.finish(&json!(TAG), 16, json!({}));
+    next.expect("FINISHED");
+    assert_eq!(Lines::connect(deployment.address).expect("FINISH")["tag"], TAG);
+}
+
 /// Guards against a release that goes to another caller: the new process has no connection of the call's caller, and
 /// another caller is the first to place a call.
 #[test]
