Remember an undetected end for the server, not for the calls of that moment

Cause: the fix noted the calls that had no connection of their own when a silent connection was closed. The server still takes that connection for open, and may report on it the end of a call whose own connection ends later; for that call the server was dialled once, and no more.

Change: Servers::undetected_ends holds the server and the latest time of detection; redials go on while it has any established call without an open connection. What belongs to redials is in src/platform/servers/redial.rs, out of pool.rs, with its reasons in one place; the note on the calls (end_missable_until) is gone.

Tests: end_of_a_later_call_said_on_a_silent_connection_is_heard failed before (no connection came within 20 s). The other two passed before and after.

--- a/src/platform/handover.rs
+++ b/src/platform/handover.rs
@@ -310,7 +310,7 @@
         self.peer_process.inheritance = None;
         self.peer_process.inheritance_done.notify_one();
         self.set_role(Role::Alone);
-        self.handle_connections_of_peer_process_end(clock::now());
+        self.schedule_redials_after_handover();
     }
 
     /// Takes over an established call from the older process.
--- a/src/platform/servers/attempts.rs
+++ b/src/platform/servers/attempts.rs
@@ -38,7 +38,7 @@
             let (outcome, cause, load) = (Outcome::Unreachable, Cause::Unspecified, LoadReport::default());
             return self.driver.inputs.push_back(Input::AttemptEnded { attempt, outcome, cause, load });
         };
-        let entry = AttemptEntry { attempt, connection: id, is_established: false, end_missable_until: None };
+        let entry = AttemptEntry { attempt, connection: id, is_established: false };
         self.servers.attempts.insert(key, entry);
         self.servers.by_call.insert(attempt.call, key);
         self.driver.trace.record(now, attempt.call, TraceStep::AttemptOn(id));
--- a/src/platform/servers/health.rs
+++ b/src/platform/servers/health.rs
@@ -237,6 +237,7 @@
         }
         self.pending_releases.remove(&server);
         self.redials.remove(&server);
+        self.undetected_ends.remove(&server);
         self.heartbeats.remove(&server);
         self.backoffs.remove(&server);
     }
--- a/src/platform/servers/mod.rs
+++ b/src/platform/servers/mod.rs
@@ -7,6 +7,7 @@
 //! | file | concern |
 //! | --- | --- |
 //! | `pool` | choice of the connection for a message; dialling, back-off, ends of connections |
+//! | `redial` | dials after the end of a connection, for reports that may have been lost with it |
 //! | `connection` | the state of one connection |
 //! | `attempts` | attempts and releases on connections |
 //! | `health` | health checks, silent servers, removed servers |
@@ -17,6 +18,7 @@
 mod health;
 mod messages;
 mod pool;
+mod redial;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -31,6 +33,7 @@
 use health::HealthCheck;
 pub(super) use health::ServerEndReason;
 use pool::Backoff;
+use redial::Redial;
 
 /// Maximum number of releases for one server without a connection, and of unconfirmed releases on one connection.
 /// Beyond it the oldest is dropped: the server ends that call by itself.
@@ -53,17 +56,6 @@
     /// The connection on which it was sent.
     connection: ConnectionId,
     is_established: bool,
-    /// Until when the server may report the call's end on a connection that has ended without its knowledge.
-    end_missable_until: Option<Micros>,
-}
-
-/// A dial that makes a server repeat the ends of calls that it may have reported on an ended connection.
-#[derive(Clone, Copy)]
-struct Redial {
-    /// A connection that is dialled at this time or later serves.
-    from: Micros,
-    /// It follows an earlier one, because the server may not have detected the end of the connection by then.
-    is_repeat: bool,
 }
 
 /// All setup servers and the connections to them.
@@ -83,8 +75,10 @@
     last_received_at: BTreeMap<ServerId, Micros>,
     /// Releases for servers without a usable connection.
     pending_releases: BTreeMap<ServerId, VecDeque<Tag>>,
-    /// Servers whose reports of ended calls may have been lost with an ended connection.
+    /// Servers to be dialled again because their reports of ended calls may have been lost with an ended connection.
     redials: BTreeMap<ServerId, Redial>,
+    /// Servers that may not have detected the end of a connection, and when they have at the latest.
+    undetected_ends: BTreeMap<ServerId, Micros>,
     /// Servers that were removed from the list, and when their calls without an open connection count as lost.
     removed: BTreeMap<ServerId, Micros>,
 }
@@ -104,6 +98,7 @@
             last_received_at: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
             redials: BTreeMap::new(),
+            undetected_ends: BTreeMap::new(),
             removed: BTreeMap::new(),
         }
     }
@@ -129,8 +124,7 @@
     /// Adds an established call that another process handed over. It has no connection of this process.
     pub(super) fn adopt_call(&mut self, key: CallKey, call: CallId) -> AttemptId {
         let attempt = AttemptId { call, number: 0 };
-        let connection = super::NO_CONNECTION;
-        let entry = AttemptEntry { attempt, connection, is_established: true, end_missable_until: None };
+        let entry = AttemptEntry { attempt, connection: super::NO_CONNECTION, is_established: true };
         self.attempts.insert(key, entry);
         self.by_call.insert(call, key);
         attempt
--- a/src/platform/servers/pool.rs
+++ b/src/platform/servers/pool.rs
@@ -17,21 +17,15 @@
 
 use super::super::heartbeat_monitor::HeartbeatMonitor;
 use super::super::line::{Line, Tag, reader};
-use super::super::{ConnectionId, NO_CONNECTION, PlatformFrontend, SharedFrontend};
+use super::super::{ConnectionId, PlatformFrontend, SharedFrontend};
 use super::connection::{QueuedMessage, ServerConnection};
-use super::{CallKey, Redial, ServerEndReason};
+use super::{CallKey, ServerEndReason};
 
 /// Longest time from the first byte of a server's message to its last. Servers write each message at once, and an
 /// incomplete line delays the answers of all calls behind it.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which a server has detected the end of a connection whose link works.
-const CLOSE_PROPAGATION_TIME: Micros = 50_000;
-/// Interval between dials to a server that may not have detected the end of a connection: a call's end must reach its
-/// caller within 8 s, and a dial may fail.
-const REDIAL_INTERVAL: Micros = 2_500_000;
-/// Time after which a server has detected the end of a connection even if its link is broken: it sends reports, and its
-/// system gives up a connection on which nothing is acknowledged for so long.
-const MAX_DETECTION_TIME: Micros = 16 * 60 * 1_000_000;
+pub(super) const CLOSE_PROPAGATION_TIME: Micros = 50_000;
 /// Scheduler turns after which a connection that this process closes has ended; its end does not depend on the peer.
 const CLOSE_TURNS: usize = 64;
 /// First and longest delay between dials to a server that cannot be reached.
@@ -151,14 +145,10 @@
         connection.silent_since = now;
         let server = connection.server;
         self.servers.backoffs.remove(&server);
-        let redial = self.servers.redials.get(&server);
-        let is_redial = redial.is_some_and(|redial| connection.was_dialled_since(redial.from));
         let pending = self.servers.pending_releases.remove(&server).unwrap_or_default();
         connection.queued.extend(pending.into_iter().map(QueuedMessage::Release));
         connection.flush();
-        if is_redial {
-            self.servers.complete_redial(server, now);
-        }
+        self.servers.complete_redial(id, now);
     }
 
     fn handle_dial_failure(&mut self, id: ConnectionId, error: Option<io::ErrorKind>) {
@@ -199,23 +189,9 @@
         self.count_written_setups(id);
         let Some(mut connection) = self.servers.connections.remove(&id) else { return };
         let server = connection.server;
-        let is_undetected = connection.may_end_undetected(ended, now);
-        // A server reports a call's end on the connection of the set-up or on any open connection, and repeats it on
-        // the next connection that is opened. A report that crosses the end of this connection is received only by
-        // that repetition, so a new connection is dialled. Without it some ends of calls are never received: on
-        // recorded days with many departing callers, one call in some 6,700 ended in the millisecond in which a
-        // connection was closed because a newer one was up. The server must detect the end of this connection before
-        // it accepts the next, or it does not repeat the report: on recorded days with silent connections, one call
-        // in some 2,000 was lost by a close 2 ms before the next dial. A replaced connection needs no redial, because
-        // its replacement is dialled after the same delay. If the link is broken, nobody knows when the server detects
-        // the end, so dials are repeated while there are calls whose end it may report on this connection.
         let is_listed = connection.removed_at.is_none();
-        let needs_redial = !connection.is_replaced || is_undetected;
-        if is_listed && needs_redial && self.servers.has_established_calls(server) {
-            self.servers.schedule_redial(server, now);
-            if is_undetected {
-                self.servers.record_undetected_end(server, now);
-            }
+        if is_listed {
+            self.servers.schedule_redial_after_end(&connection, ended, now);
         }
         for release in std::mem::take(&mut connection.unconfirmed_releases) {
             // Not sent if another call with that id is at the server by now.
@@ -260,72 +236,11 @@
         if is_wanted && (!has_any || !has_usable) {
             self.dial(server, now);
         }
-        self.redial_for_missed_ends(server, now);
-    }
-
-    /// Dials a server again if its reports of ended calls may have been lost with an ended connection.
-    fn redial_for_missed_ends(&mut self, server: ServerId, now: Micros) {
-        let Some(Redial { from, is_repeat }) = self.servers.redials.get(&server).copied() else { return };
-        let mut connections = self.servers.connections_of(server);
-        let is_dialled = connections.any(|(_, connection)| connection.was_dialled_since(from));
-        drop(connections);
-        let servers = &self.servers;
-        let is_wanted =
-            if is_repeat { servers.may_miss_ends(server, now) } else { servers.has_calls(server) };
-        if !is_wanted {
-            self.servers.redials.remove(&server);
-        } else if !is_dialled && now >= from {
-            self.dial(server, now);
-        }
-    }
-
-    /// Handles the end of this gatekeeper's other process and of its connections. A server may have reported the end of
-    /// a call that was handed over on one of them.
-    pub(in crate::platform) fn handle_connections_of_peer_process_end(&mut self, now: Micros) {
-        for server in self.servers.servers_of_adopted_calls() {
-            self.servers.schedule_redial(server, now);
-            self.servers.record_undetected_end(server, now);
-        }
+        self.redial_if_due(server, now);
     }
 }
 
 impl super::Servers {
-    /// Schedules a dial after the end of a connection.
-    fn schedule_redial(&mut self, server: ServerId, now: Micros) {
-        self.redials.insert(server, Redial { from: now + CLOSE_PROPAGATION_TIME, is_repeat: false });
-    }
-
-    /// Records that a redial has succeeded, and schedules the next one if the server may still miss an end.
-    fn complete_redial(&mut self, server: ServerId, now: Micros) {
-        self.redials.remove(&server);
-        if self.may_miss_ends(server, now) {
-            self.redials.insert(server, Redial { from: now + REDIAL_INTERVAL, is_repeat: true });
-        }
-    }
-
-    /// Records that a server may not have detected the end of a connection. It may report there the ends of all calls
-    /// that have no connection of their own any more.
-    fn record_undetected_end(&mut self, server: ServerId, now: Micros) {
-        let connections = &self.connections;
-        for (_, entry) in self.attempts.iter_mut().filter(|(key, _)| key.server == server) {
-            if entry.is_established && !connections.contains_key(&entry.connection) {
-                entry.end_missable_until = Some(now + MAX_DETECTION_TIME);
-            }
-        }
-    }
-
-    /// Whether a server may report the end of a call on a connection that has ended without its knowledge.
-    fn may_miss_ends(&self, server: ServerId, now: Micros) -> bool {
-        let entries = self.attempts.iter().filter(|(key, _)| key.server == server);
-        entries.into_iter().any(|(_, entry)| entry.end_missable_until.is_some_and(|until| now < until))
-    }
-
-    /// Servers of calls that were handed over by another process.
-    fn servers_of_adopted_calls(&self) -> BTreeSet<ServerId> {
-        let adopted = self.attempts.iter().filter(|(_, entry)| entry.connection == NO_CONNECTION);
-        adopted.map(|(key, _)| key.server).collect()
-    }
-
     /// Retires suspect connections of a server, and all but the newest usable one if the server has no calls. Called
     /// only when there is a usable connection.
     fn retire_replaceable(&mut self, server: ServerId, has_calls: bool, now: Micros) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -806,6 +806,47 @@
     caller.expect("STARTED");
 }
 
+/// A server has restarted when the list drops it: that its new process is heard says nothing of the calls of the old
+/// one, whose connection was reset.
+#[test]
+fn call_of_a_restarted_server_ends_when_the_server_is_removed() {
+    let (listener, address) = listen();
+    let resolver = Resolver::new(vec![line("s-1", address, 0)]);
+    let (_program, gatekeeper) = Program::platform(&resolver, settings());
+    let mut old = Lines::accept(&listener);
+    let mut caller = Lines::connect(gatekeeper);
+    caller.start(TAG, 9000, 0);
+    let start = old.expect("START");
+    old.started(&start["tag"]);
+    caller.expect("STARTED");
+    old.reset();
+    let mut new = Lines::accept(&listener);
+    let state = json!({"verb": "LOAD", "tag": "00000000000000aa", "opts": {"load": "x0:12;x1:40"}});
+    new.keeps_saying(state, Duration::from_millis(20));
+    caller.start(PENDING_TAG, 9000, 0);
+    assert_eq!(new.expect("START")["tag"], PENDING_TAG);
+    let serial = resolver.change(0, Vec::clear);
+    resolver.told(serial);
+    let release = caller.expect("FINISH");
+    assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(41)), "the old process's call");
+    new.started(&json!(PENDING_TAG));
+    assert_eq!(caller.expect("STARTED")["tag"], PENDING_TAG, "the new process's set-up goes on");
+}
+
+/// A removed server works on and then ends its connection: its call is over, and its set-up goes to another server.
+#[test]
+fn removed_server_that_ends_its_connection_has_ended_its_calls() {
+    let mut site = RemovedServer::new(|_| ());
+    let RemovedServer { server, other, caller, .. } = &mut site;
+    let check = server.expect("ECHO");
+    server.say(json!({"verb": "ECHOED", "tag": check["tag"], "opts": {}, "rc": 1}));
+    server.nothing_but_an_echo_of_its_own(); // the answer was read
+    server.writer().shutdown(std::net::Shutdown::Both).unwrap();
+    let release = caller.expect("FINISH");
+    assert_eq!((&release["tag"], &release["rc"]), (&json!(TAG), &json!(41)));
+    assert_eq!(other.expect("START")["tag"], PENDING_TAG);
+}
+
 /// Guards against a call whose end its caller never hears: the server says it on a connection that has fallen silent
 /// and that the gatekeeper has closed, which the server does not detect. The server repeats it on the next connection
 /// that is opened, however late its first word was.
@@ -834,6 +875,39 @@
     assert!(ended_at.elapsed() < Duration::from_secs(8), "{:?}", ended_at.elapsed());
 }
 
+/// Guards against the same where the call was set up later: its own connection ends, and the server, which still takes
+/// the silent one for open, says the call's end there.
+#[test]
+fn end_of_a_later_call_said_on_a_silent_connection_is_heard() {
+    let (listener, _program, mut server, mut caller) = gatekeeper_with_caller();
+    let state = json!({"verb": "LOAD", "tag": "00000000000000aa", "opts": {"load": "x0:12;x1:40"}});
+    for _ in 0..6 {
+        server.say(state.clone());
+        std::thread::sleep(Duration::from_millis(60)); // the report interval
+    }
+    let report_on = |connection: &Lines| connection.keeps_saying(state.clone(), Duration::from_millis(20));
+    let mut second = Lines::accept(&listener); // replaces the silent one
+    report_on(&second);
+    assert_eq!(server.until_closed(), "", "the silent connection is closed");
+    caller.start(TAG, 8000, 0);
+    let start = second.expect("START");
+    second.started(&start["tag"]);
+    caller.expect("STARTED");
+    second.writer().shutdown(std::net::Shutdown::Both).unwrap();
+    let closed_at = Instant::now();
+    let mut replacements = Vec::new(); // one for the next call, one for what crossed the end
+    while closed_at.elapsed() < Duration::from_secs(1) {
+        replacements.extend(Lines::accept_now(&listener).inspect(report_on));
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert!(!replacements.is_empty());
+    let ended_at = Instant::now(); // the server says so on the first connection
+    let mut next = Lines::accept(&listener);
+    next.finish(&json!(TAG), 16, json!({}));
+    assert_eq!(caller.expect("FINISH")["tag"], TAG);
+    assert!(ended_at.elapsed() < Duration::from_secs(8), "{:?}", ended_at.elapsed());
+}
+
 /// While the gatekeeper is out of service, callers' health checks fail, and a connection is closed once it has no
 /// open set-up and no established call. Back in service, connections are accepted and health checks pass again.
 #[test]
