Say in the log why calls at a removed server end, also where its connection ends

Need: the reason RemovedAndSilent was logged for calls whose connection had ended while the server was heard on another one, and the end of a kept connection to a removed server logged nothing.

--- a/src/platform/servers/health.rs
+++ b/src/platform/servers/health.rs
@@ -30,8 +30,9 @@
 /// Why the attempts and calls at a server are ended although the server has not ended them.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::platform) enum ServerEndReason {
-    /// The list no longer contains the server, and nothing has been heard of it since.
-    RemovedAndSilent,
+    /// The list no longer contains the server, and the connections on which the calls were set up are silent or have
+    /// ended.
+    Removed,
     /// The list has a later start time for the server than before.
     Restarted,
     /// The server refused a connection, and no other is open.
@@ -101,15 +102,23 @@
         }
     }
 
-    /// Ends the attempts and calls at removed servers that are not heard any more, on both sides.
+    /// Ends attempts and calls at a removed server, on both sides.
+    pub(super) fn end_attempts_at_removed_server(&mut self, server: ServerId, attempts: BTreeSet<AttemptId>) {
+        if attempts.is_empty() {
+            return;
+        }
+        let (name, calls) = (self.directory.name(server), attempts.len());
+        let reason = ServerEndReason::Removed;
+        tracing::info!(server = name, ?reason, calls, "ends the calls at a server");
+        for attempt in attempts {
+            self.feed(Input::AttemptLost(attempt));
+        }
+    }
+
+    /// Ends the attempts and calls at removed servers that are not heard any more.
     fn end_lost_attempts(&mut self, now: Micros) {
         for (server, attempts) in self.servers.lost_attempts(now) {
-            let (name, calls) = (self.directory.name(server), attempts.len());
-            let reason = ServerEndReason::RemovedAndSilent;
-            tracing::info!(server = name, ?reason, calls, "ends the calls at a server");
-            for attempt in attempts {
-                self.feed(Input::AttemptLost(attempt));
-            }
+            self.end_attempts_at_removed_server(server, attempts);
         }
         for server in self.servers.take_checked_servers(now) {
             let (name, calls) = (self.directory.name(server), self.servers.heard_call_count(server));
--- a/src/platform/servers/pool.rs
+++ b/src/platform/servers/pool.rs
@@ -10,8 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
-use crate::driver::Frontend as _;
-use crate::gateway::{AttemptId, Input};
+use crate::gateway::AttemptId;
 use crate::link::{self, EndedBy, Outbox};
 use crate::{Cause, LoadReport, Micros, Outcome, ServerId};
 
@@ -210,9 +209,8 @@
         }
         self.return_queued(server, connection.queued);
         if !is_listed {
-            for attempt in self.servers.attempts_on(id) {
-                self.feed(Input::AttemptLost(attempt));
-            }
+            let attempts = self.servers.attempts_on(id);
+            self.end_attempts_at_removed_server(server, attempts);
         }
         self.maintain_servers(clock::now());
     }
@@ -253,7 +251,7 @@
     }
 
     /// The attempts on a connection, pending or established.
-    fn attempts_on(&self, id: ConnectionId) -> Vec<AttemptId> {
+    fn attempts_on(&self, id: ConnectionId) -> BTreeSet<AttemptId> {
         let entries = self.attempts.values().filter(|entry| entry.connection == id);
         entries.map(|entry| entry.attempt).collect()
     }
