Review 2: a short temporary folder, since the upgrade socket's path has to be short

Cause: with a long TMPDIR the program can make no upgrade socket, and cases 6 and 10 would say nothing.

--- a/review/lib-2/peers.py
+++ b/review/lib-2/peers.py
@@ -448,10 +448,14 @@
     """Runs `story(record, temporary folder, ends)`, which returns a list of what broke the rule; ends the case."""
     record = Record(folder)
     record("case", f"TROUBLE={1 if TROUBLE else 0}")
-    temporary = tempfile.mkdtemp(prefix="case-")
+    # The program's upgrade socket is in $TMPDIR, and its path has to be short.
+    base = "/tmp" if os.access("/tmp", os.W_OK | os.X_OK) else None
+    temporary = tempfile.mkdtemp(prefix="case-", dir=base)
     ends = []
 
     async def run():
+        if len(temporary) > 50:
+            raise CannotRun("the path of the temporary folder is too long")
         loop = asyncio.get_running_loop()
         me = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
