--- a/review/lib-2/sip.py
+++ b/review/lib-2/sip.py
@@ -290,13 +290,14 @@
 
 
 def outstanding_twice(record, servers):
-    """The calls of which two attempts were out at the same time: `came` to `over` of two attempts overlap."""
+    """The calls of which two attempts were out at the same time: `came` to `over` of two attempts overlap by over 50 ms,
+    as every time limit is 50 ms longer on sockets."""
     found = []
     attempts = sorted((a for s in servers for a in s.attempts), key=lambda a: a["came"])
     for n, one in enumerate(attempts):
         for two in attempts[n + 1:]:
             end = one["over"] if one["over"] is not None else record.now()
-            if two["session"] == one["session"] and two["came"] < end:
+            if two["session"] == one["session"] and two["came"] + 0.05 < end:
                 over = "is not over yet" if one["over"] is None else f"was over at {one['over']:.3f} s ({one['why']})"
                 found.append(f"call {one['session'][-4:]}: the attempt at {one['server']} came at {one['came']:.3f} s and {over}; "
                              f"the one at {two['server']} came at {two['came']:.3f} s")
